--- a/apricotpin/messages/claims.py
+++ b/apricotpin/messages/claims.py
@@ -123,3 +123,30 @@
         stored: bool,
     ) -> None:
         self.stored = stored
+
+
+class RequestClaim:
+    """Ask the local claims service to obtain a claim from its owner."""
+
+    __slots__ = ('claim',)
+
+    def __init__(self, claim: Claim) -> None:
+        self.claim = claim
+
+
+class ReportOutcome:
+    """Ask the local claims service to have an outcome recorded."""
+
+    __slots__ = ('record',)
+
+    def __init__(self, record: RecordOutcome) -> None:
+        self.record = record
+
+
+class LookUpOutcome:
+    """Ask the local claims service for the stored outcome of a key."""
+
+    __slots__ = ('find',)
+
+    def __init__(self, find: FindOutcome) -> None:
+        self.find = find
--- a/script/run_tests.py
+++ b/script/run_tests.py
@@ -59,8 +59,8 @@
     """Print each known-red test; return those without an entry."""
     listed = KNOWN_RED.read_text() if KNOWN_RED.exists() else ''
     names = tagged_scenarios()
-    for name in names:
-        print(f'known red, passed over: {name}')
+    for scenario in names:
+        print(f'known red, passed over: {scenario}')
     return [name for name in names if name not in listed]
 
 
