--- a/apricotpin/components/metrics/const.py
+++ b/apricotpin/components/metrics/const.py
@@ -79,4 +79,21 @@
         'verdicts on claims, by verdict',
         'verdict',
     ),
+    Metric(
+        'claim_records_total',
+        KIND_COUNTER,
+        'records of claims and outcomes sent to the log',
+    ),
+    Metric(
+        'claim_records_dropped_total',
+        KIND_COUNTER,
+        'outcomes and closings given up before they were recorded',
+        'record',
+    ),
+    Metric(
+        'claims_unrecorded',
+        KIND_GAUGE,
+        'outcomes and closings that wait to be recorded',
+    ),
+    Metric('claims_held', KIND_GAUGE, 'claims in memory'),
 )
--- a/apricotpin/messages/claims.py
+++ b/apricotpin/messages/claims.py
@@ -22,9 +22,14 @@
 
 
 class Claim:
-    """Ask for the right to run the action of a key once."""
+    """Ask for the right to run the action of a key once.
+
+    The local claims service sets attempt_id. The same attempt may ask again
+    when an answer was lost; no other attempt is granted the key after it.
+    """
 
     __slots__ = (
+        'attempt_id',
         'host_id',
         'key',
         'request_digest',
@@ -39,12 +44,14 @@
         key: str,
         request_digest: str,
         host_id: str,
+        attempt_id: str = '',
     ) -> None:
         self.workspace = workspace
         self.service_name = service_name
         self.key = key
         self.request_digest = request_digest
         self.host_id = host_id
+        self.attempt_id = attempt_id
 
 
 class ClaimAnswer:
@@ -68,9 +75,13 @@
 
 
 class RecordOutcome:
-    """Record that a claimed action ended, or that it was not run."""
+    """Record that a claimed action ended, or that it was not run.
+
+    The local claims service sets attempt_id to the attempt that was granted.
+    """
 
     __slots__ = (
+        'attempt_id',
         'key',
         'not_run',
         'outcome',
@@ -85,12 +96,14 @@
         key: str,
         not_run: bool,
         outcome: Outcome | None = None,
+        attempt_id: str = '',
     ) -> None:
         self.workspace = workspace
         self.service_name = service_name
         self.key = key
         self.not_run = not_run
         self.outcome = outcome
+        self.attempt_id = attempt_id
 
 
 class FindOutcome:
@@ -126,7 +139,11 @@
 
 
 class RequestClaim:
-    """Ask the local claims service to obtain a claim from its owner."""
+    """Ask the local claims service to obtain a claim from its owner.
+
+    It answers with a ClaimAnswer, or with the failure key_invalid or
+    key_expired. Only the verdict "granted" entitles the caller to run.
+    """
 
     __slots__ = ('claim',)
 
@@ -135,7 +152,11 @@
 
 
 class ReportOutcome:
-    """Ask the local claims service to have an outcome recorded."""
+    """Ask the local claims service to have an outcome recorded.
+
+    It answers with Recorded; the service keeps trying in the background when
+    the record is not durable yet.
+    """
 
     __slots__ = ('record',)
 
@@ -144,7 +165,11 @@
 
 
 class LookUpOutcome:
-    """Ask the local claims service for the stored outcome of a key."""
+    """Ask the local claims service for the stored outcome of a key.
+
+    It answers with a ClaimAnswer, or with the failure outcome_not_found,
+    key_invalid or key_expired.
+    """
 
     __slots__ = ('find',)
 
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -80,6 +80,7 @@
   3: string key
   4: string request_digest
   5: string host_id
+  6: string attempt_id
 }
 
 struct Outcome {
@@ -88,7 +89,7 @@
   3: binary body
 }
 
-// verdict: granted, running, not_run, done, reused, unavailable, not_owner
+// verdict: one of those in apricotpin/messages/verdicts.py
 struct ClaimAnswer {
   1: string verdict
   2: Outcome outcome
@@ -101,6 +102,7 @@
   3: string key
   4: bool not_run
   5: Outcome outcome
+  6: string attempt_id
 }
 
 struct FindOutcome {
