Add the frontend and the router

Cause: entry hosts had placeholders for the components that accept callers' requests and choose upstreams.

Change: the router admits by priority, chooses between two random upstreams by own requests in flight and suspects upstreams that fail. The frontend forwards plain requests and streams, retries idempotent ones within a budget, resumes cut streams on a worker of the same version, and sends requests that run once only after a granted claim. Each request runs in its own greenlet. The library's HTTP client is not used for requests, since it repeats PUT and DELETE on its own and hides whether a byte was sent; its parser is.

Conclusion: faults of upstreams end in the whole answer or a clear error. Admission, shutdown and the choice of an upstream have no tests of their own yet.

--- a/apricotpin/components/frontend/__init__.py
+++ b/apricotpin/components/frontend/__init__.py
@@ -1,12 +1,95 @@
-"""Placeholder of the frontend component; registers nothing yet."""
+"""HTTP listener for callers."""
 
-from result import Ok, Result
+from typing import Any
 
-from apricotpin.core import Kernel
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
+from loguru import logger
+from result import Result
+
+from apricotpin.components.frontend.const import (
+    CALLER_SILENT_S,
+    CONNECTIONS_MAX,
+    DRAINED_MARGIN_S,
+    FRONTEND_MAILBOX_SIZE,
+    IDLE_CHECK_S,
+)
+from apricotpin.components.frontend.pages import make_application
+from apricotpin.components.frontend.service import FrontendService
+from apricotpin.const import SERVICE_FRONTEND
+from apricotpin.core import Handlers, Kernel, Stopping
 from apricotpin.errors import Failure
+from apricotpin.helpers.addresses import Address
+from apricotpin.helpers.listeners import open_listener
+from apricotpin.messages import routing
+from apricotpin.messages.admin import GetServiceStatus
 from apricotpin.settings import Settings
 
+# How gevent names a socket that timed out.
+_TIMED_OUT = 'timed out'
+
 
 def setup(kernel: Kernel, settings: Settings) -> Result[None, Failure]:
-    """Register nothing."""
-    return Ok(None)
+    """Register the frontend service and start its listener."""
+    address = Address.from_text(settings.frontend_listen)
+    return open_listener(address).map(
+        lambda listener: _start(kernel, settings, listener),
+    )
+
+
+def _start(kernel: Kernel, settings: Settings, listener: Any) -> None:
+    server = WSGIServer(
+        listener,
+        make_application(kernel, settings.host_id),
+        spawn=Pool(CONNECTIONS_MAX),
+        log=None,
+        error_log=None,
+        handler_class=_make_handler,
+    )
+    service = FrontendService(kernel, settings.grace_s)
+    kernel.register(
+        SERVICE_FRONTEND,
+        _handlers_of(service),
+        mailbox_size=FRONTEND_MAILBOX_SIZE,
+        on_stop=lambda: _drain(kernel, server, settings.grace_s),
+    )
+    tick = routing.CloseIdleConnections()
+    kernel.every(SERVICE_FRONTEND, tick, IDLE_CHECK_S)
+    server.start()
+
+
+def _handlers_of(service: FrontendService) -> Handlers:
+    return {
+        routing.BeginCall: service.begin,
+        routing.EndCall: service.end,
+        routing.AwaitDrained: service.await_drained,
+        routing.RefuseNewCalls: service.refuse,
+        routing.TakeConnection: service.take_connection,
+        routing.KeepConnection: service.keep_connection,
+        routing.DropConnections: service.drop_connections,
+        routing.CloseIdleConnections: service.close_idle,
+        Stopping: service.note_stopping,
+        GetServiceStatus: service.report,
+    }
+
+
+def _make_handler(
+    connection: Any,
+    address: Any,
+    server: WSGIServer,
+) -> WSGIHandler:
+    """Return the handler of a connection that drops silent callers."""
+    connection.settimeout(CALLER_SILENT_S)
+    handler = WSGIHandler(connection, address, server)
+    # A caller that stops reading ends its connection, but is no fault here.
+    ignored = (*handler.ignored_socket_errors, _TIMED_OUT)
+    handler.ignored_socket_errors = ignored
+    return handler
+
+
+def _drain(kernel: Kernel, server: WSGIServer, grace_s: float) -> None:
+    """Return once no request is in progress, at most after grace_s."""
+    drained = kernel.call(SERVICE_FRONTEND, routing.AwaitDrained(), grace_s)
+    if drained.is_err():
+        logger.bind(grace_s=grace_s).warning('requests_interrupted')
+    server.stop(timeout=DRAINED_MARGIN_S)
--- /dev/null
+++ b/apricotpin/components/frontend/decisions.py
@@ -0,0 +1,172 @@
+"""What to do after an attempt.
+
+Nothing here knows of HTTP messages or sockets.
+"""
+
+import types
+from collections.abc import Sequence
+from typing import Final
+
+from apricotpin.components.frontend.const import ATTEMPTS_MAX, FRESH_S
+from apricotpin.components.frontend.verdicts import (
+    Action,
+    Attempt,
+    Freshness,
+    Progress,
+    Step,
+    Verdict,
+)
+from apricotpin.errors import ErrorKind, Executed, Failure, answer_for
+from apricotpin.messages.document import Rule
+from apricotpin.messages.routing import (
+    HEALTH_FAILED,
+    HEALTH_UNJUDGED,
+    HEALTH_WORKS,
+)
+
+# Methods that RFC 9110 calls safe; all others need a rule to be idempotent.
+_SAFE_METHODS: Final = frozenset(('GET', 'HEAD', 'OPTIONS'))
+
+# A busy upstream works, and a version changes during every rollout.
+_NOT_THE_UPSTREAMS_FAULT: Final = frozenset(
+    (Verdict.BUSY, Verdict.WRONG_VERSION, Verdict.TOO_LARGE),
+)
+
+_FAILURE_KINDS: Final = types.MappingProxyType(
+    {
+        Verdict.SILENT: ErrorKind.TIMEOUT,
+        Verdict.TOO_LARGE: ErrorKind.ANSWER_TOO_LARGE,
+    }
+)
+
+
+def find_rule(rules: Sequence[Rule], method: str, path: str) -> Rule | None:
+    """Return the rule with the longest matching prefix, if any.
+
+    Of two rules with the same prefix the one that is not idempotent holds.
+    """
+    matching = [
+        rule
+        for rule in rules
+        if rule.method == method and path.startswith(rule.path_prefix)
+    ]
+    return max(
+        matching,
+        key=lambda rule: (len(rule.path_prefix), not rule.idempotent),
+        default=None,
+    )
+
+
+def is_idempotent(rule: Rule | None, method: str) -> bool:
+    """Tell whether a request may be sent more than once."""
+    return rule.idempotent if rule else method in _SAFE_METHODS
+
+
+def note_attempt(progress: Progress, attempt: Attempt) -> None:
+    """Add an attempt to the progress of its request."""
+    progress.attempts += 1
+    progress.last = attempt.verdict
+    if attempt.sent and not attempt.refused_as_not_run:
+        progress.may_have_run = True
+
+
+def next_step(progress: Progress, attempt: Attempt, now_s: float) -> Step:
+    """Decide what follows an attempt that is already part of progress."""
+    if attempt.verdict is Verdict.ANSWERED:
+        return Step(Action.ANSWER)
+    if not progress.idempotent:
+        return Step(Action.FAIL, failure_of_single(attempt))
+    if _may_retry(progress, attempt, now_s):
+        return Step(Action.RETRY)
+    if attempt.verdict is Verdict.BUSY and not attempt.refused_as_not_run:
+        return Step(Action.ANSWER)
+    return Step(Action.FAIL, _failure_of_repeatable(progress, attempt, now_s))
+
+
+def failure_of_single(attempt: Attempt) -> Failure:
+    """Return how a request ends that may not be sent again."""
+    reason = attempt.verdict.value
+    if attempt.verdict is Verdict.TOO_LARGE:
+        return Failure(ErrorKind.ANSWER_TOO_LARGE, reason)
+    if attempt.refused_as_not_run or not attempt.sent:
+        return Failure(ErrorKind.NOT_RUN, reason)
+    return Failure(ErrorKind.OUTCOME_UNKNOWN, reason)
+
+
+def failure_of_choice(progress: Progress, refusal: Failure) -> Failure:
+    """Return how a request ends that got no upstream for an attempt.
+
+    Refusals that say "not run" hold only while no earlier attempt can have
+    run; otherwise the latest attempt names the failure.
+    """
+    if not progress.may_have_run:
+        return refusal
+    if answer_for(refusal.kind).executed is not Executed.NO:
+        return refusal
+    kind = _FAILURE_KINDS.get(progress.last, ErrorKind.UPSTREAM_FAILED)
+    detail = f'{progress.last.value}, then {refusal.detail}'
+    return Failure(kind, detail)
+
+
+def check_freshness(
+    checked_s: float,
+    deadline_s: float,
+    now_s: float,
+) -> Freshness:
+    """Decide whether a choice made at checked_s still holds at now_s."""
+    if now_s >= deadline_s:
+        return Freshness.TOO_LATE
+    if now_s - checked_s > FRESH_S:
+        return Freshness.CHOOSE_AGAIN
+    return Freshness.SEND
+
+
+def health_of(attempt: Attempt) -> str:
+    """Return what an attempt says about its upstream."""
+    if attempt.verdict is Verdict.ANSWERED:
+        return HEALTH_WORKS
+    if attempt.verdict in _NOT_THE_UPSTREAMS_FAULT or attempt.reused:
+        return HEALTH_UNJUDGED
+    return HEALTH_FAILED
+
+
+def hop_id(request_id: str, ticket: str, attempt: int) -> str:
+    """Return the identity of one attempt.
+
+    The ticket tells apart requests to which callers gave the same identity.
+    """
+    return f'{request_id}-{ticket}-{attempt}'
+
+
+def check_identity(sent: str, echoed: str, echoes: bool) -> bool:
+    """Tell whether an answer belongs to the request that was sent."""
+    return not echoes or echoed == sent
+
+
+def check_version(required: str, found: str) -> bool:
+    """Tell whether an answer comes from the required version, if any."""
+    return not required or found == required
+
+
+def _may_retry(progress: Progress, attempt: Attempt, now_s: float) -> bool:
+    if attempt.verdict is Verdict.TOO_LARGE:
+        return False
+    if progress.attempts >= ATTEMPTS_MAX or now_s >= progress.deadline_s:
+        return False
+    return progress.resumable or not progress.delivered
+
+
+def _failure_of_repeatable(
+    progress: Progress,
+    attempt: Attempt,
+    now_s: float,
+) -> Failure:
+    detail = f'{attempt.verdict.value} after {progress.attempts} attempts'
+    if not progress.may_have_run:
+        refused = attempt.refused_as_not_run
+        kind = ErrorKind.NOT_RUN if refused else ErrorKind.NO_UPSTREAM
+        return Failure(kind, detail)
+    if now_s >= progress.deadline_s:
+        return Failure(ErrorKind.TIMEOUT, detail)
+    kind = _FAILURE_KINDS.get(attempt.verdict, ErrorKind.UPSTREAM_FAILED)
+    return Failure(kind, detail)
--- /dev/null
+++ b/apricotpin/components/frontend/events.py
@@ -0,0 +1,93 @@
+"""Server-sent events of a stream, cut out of the bytes as they arrive."""
+
+import json
+import re
+from typing import Any, Final
+
+from apricotpin.components.frontend.const import EVENT_MAX_BYTES
+from apricotpin.errors import Failure
+
+_BOUNDARY: Final = re.compile(rb'\r?\n\r?\n')
+_DONE: Final = b'[DONE]'
+_FIELD_SEPARATOR: Final = b':'
+
+
+class Event:
+    """Hold one event as it arrived and what it carries."""
+
+    __slots__ = ('carried', 'name', 'raw')
+
+    def __init__(self, raw: bytes, name: bytes, carried: bytes) -> None:
+        self.raw = raw
+        self.name = name
+        self.carried = carried
+
+    @classmethod
+    def from_block(cls, block: bytes) -> 'Event':
+        """Parse the lines of an event; unknown fields are kept in raw."""
+        fields: dict[bytes, bytes] = {}
+        for line in block.splitlines():
+            field, _, text = line.partition(_FIELD_SEPARATOR)
+            fields[field] = fields.get(field, b'') + text.strip()
+        name = fields.get(b'event', b'')
+        return cls(b'%b\n\n' % block, name, fields.get(b'data', b''))
+
+    @property
+    def is_end(self) -> bool:
+        """Tell whether this event ends a stream normally."""
+        return self.carried == _DONE
+
+    @property
+    def is_error(self) -> bool:
+        """Tell whether the upstream reports a failure in the stream."""
+        return self.name == b'error'
+
+    @property
+    def is_token(self) -> bool:
+        """Tell whether this event carries a token."""
+        return bool(self.carried) and not self.is_end and not self.is_error
+
+    @property
+    def index(self) -> int | None:
+        """Return the position of the token, where the engine names it."""
+        try:
+            document = json.loads(self.carried)
+        except ValueError:
+            return None
+        index = document.get('index') if isinstance(document, dict) else None
+        return index if isinstance(index, int) else None
+
+
+class EventSplitter:
+    """Keep the bytes of an event that has not arrived whole."""
+
+    __slots__ = ('_pending',)
+
+    def __init__(self) -> None:
+        self._pending = b''
+
+    def take(self, part: bytes) -> list[Event]:
+        """Return the events that are whole after this part."""
+        blocks = _BOUNDARY.split(self._pending + part)
+        self._pending = blocks.pop()
+        return [Event.from_block(block) for block in blocks if block]
+
+    @property
+    def overflows(self) -> bool:
+        """Tell whether an event is larger than any engine sends."""
+        return len(self._pending) > EVENT_MAX_BYTES
+
+
+def encode_error(document: dict[str, Any]) -> bytes:
+    """Return the event that tells a caller that its stream failed."""
+    return f'event: error\ndata: {json.dumps(document)}\n\n'.encode()
+
+
+def describe_failure(failure: Failure, repeat: str, executed: str) -> Any:
+    """Return the JSON object that tells a caller of a failure."""
+    return {
+        'error': failure.kind.value,
+        'detail': failure.detail,
+        'repeat': repeat,
+        'executed': executed,
+    }
--- /dev/null
+++ b/apricotpin/components/frontend/exchange.py
@@ -0,0 +1,150 @@
+"""One request and its answer on one connection to an upstream."""
+
+import time
+
+from gevent import select, socket
+from result import Err, Ok, Result
+
+from apricotpin.components.frontend.const import (
+    CONNECT_TIMEOUT_S,
+    RECEIVE_BYTES,
+)
+from apricotpin.components.frontend.parser import AnswerParser
+from apricotpin.components.frontend.verdicts import Verdict
+from apricotpin.helpers.addresses import Address
+
+
+class Exchange:
+    """Own a connection while it carries a request.
+
+    sent holds from the first byte of the request on.
+    """
+
+    __slots__ = (
+        'parser',
+        'reused',
+        'sent',
+        '_connection',
+        '_deadline_s',
+        '_silent_s',
+    )
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        method: str,
+        silent_s: float,
+        deadline_s: float,
+        reused: bool = False,
+    ) -> None:
+        self.parser = AnswerParser(method)
+        self.reused = reused
+        self.sent = False
+        self._connection: socket.socket | None = connection
+        self._silent_s = silent_s
+        self._deadline_s = deadline_s
+
+    def extend(self, deadline_s: float) -> None:
+        """Replace the deadline, once a stream has begun."""
+        self._deadline_s = deadline_s
+
+    def send(self, encoded: bytes) -> Verdict | None:
+        """Send a request; return what failed before the first byte."""
+        self._connection.settimeout(self._silent_s)
+        try:
+            count = self._connection.send(encoded)
+        except OSError:
+            return Verdict.CONNECT_FAILED
+        self.sent = True
+        try:
+            self._connection.sendall(encoded[count:])
+        except OSError:
+            # The upstream may have answered before it read everything.
+            return None
+        return None
+
+    def read_head(self) -> Verdict | None:
+        """Read until the head is complete; return what failed."""
+        while not self.parser.head_complete:
+            failed = self._receive(Verdict.RESET)
+            if failed:
+                return failed
+        return None
+
+    def read_part(self) -> Result[bytes, Verdict]:
+        """Return the next part of the body; an empty one is the end."""
+        part = self.parser.take_body()
+        while not part and not self.parser.message_complete:
+            failed = self._receive(Verdict.TRUNCATED)
+            if failed:
+                return Err(failed)
+            part = self.parser.take_body()
+        return Ok(part)
+
+    def read_body(self, limit_bytes: int) -> Result[bytes, Verdict]:
+        """Return the whole body of at most limit_bytes."""
+        body = bytearray()
+        while True:
+            part = self.read_part()
+            if part.is_err():
+                return part
+            if not part.ok_value:
+                break
+            body += part.ok_value
+            if len(body) > limit_bytes:
+                return Err(Verdict.TOO_LARGE)
+        return Ok(bytes(body)) if self.parser.whole else Err(Verdict.TRUNCATED)
+
+    def release(self) -> socket.socket | None:
+        """Give up the connection if it may carry another request."""
+        connection = self._connection
+        if connection is None or not self.parser.reusable:
+            return None
+        if not is_quiet(connection):
+            return None
+        self._connection = None
+        return connection
+
+    def close(self) -> None:
+        """Close the connection, which cancels a request in progress."""
+        if self._connection is not None:
+            self._connection.close()
+
+    def _receive(self, on_end: Verdict) -> Verdict | None:
+        wait_s = min(self._silent_s, self._deadline_s - time.monotonic())
+        if wait_s <= 0:
+            return Verdict.SILENT
+        self._connection.settimeout(wait_s)
+        try:
+            received = self._connection.recv(RECEIVE_BYTES)
+        except TimeoutError:
+            return Verdict.SILENT
+        except OSError:
+            return on_end
+        self.parser.take(received)
+        if self.parser.malformed:
+            return on_end
+        ended = not received and not self.parser.message_complete
+        return on_end if ended else None
+
+
+def connect(address: str, deadline_s: float) -> socket.socket | None:
+    """Open a connection; return None when the upstream can't be reached."""
+    wait_s = min(CONNECT_TIMEOUT_S, deadline_s - time.monotonic())
+    if wait_s <= 0:
+        return None
+    target = Address.from_text(address).as_tuple()
+    try:
+        connection = socket.create_connection(target, timeout=wait_s)
+    except OSError:
+        return None
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return connection
+
+
+def is_quiet(connection: socket.socket) -> bool:
+    """Tell whether an idle connection is open and holds no unread bytes."""
+    if connection.fileno() < 0:
+        return False
+    readable, _, _ = select.select([connection], [], [], 0)
+    return not readable
--- /dev/null
+++ b/apricotpin/components/frontend/job.py
@@ -0,0 +1,143 @@
+"""What every attempt of one request needs."""
+
+import json
+from typing import Any, Final
+
+from apricotpin.components.frontend.callers import CallerRequest, Headers
+from apricotpin.components.frontend.const import HEADER_REQUEST_ID
+from apricotpin.components.frontend.decisions import (
+    find_rule,
+    hop_id,
+    is_idempotent,
+)
+from apricotpin.components.frontend.verdicts import Progress
+from apricotpin.const import KIND_MODEL
+from apricotpin.core import Kernel
+from apricotpin.messages.document import Rule
+from apricotpin.messages.routing import Admitted
+
+# Headers that belong to one connection (RFC 9110, section 7.6.1), and those
+# that the next hop's request sets anew.
+HOP_HEADERS: Final = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-priority',
+        'x-request-id',
+    ),
+)
+_RESUME_FIELD: Final = 'resume_from'
+
+
+class Job:
+    """Own the state of one request; only its own greenlet uses it.
+
+    position counts the tokens that the caller has, and version is the one
+    that further attempts must come from, where that matters.
+    """
+
+    __slots__ = (
+        'admitted',
+        'body',
+        'caller',
+        'kernel',
+        'position',
+        'progress',
+        'ticket',
+        'tried',
+        'version',
+        '_document',
+    )
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        caller: CallerRequest,
+        ticket: str,
+        admitted: Admitted,
+        deadline_s: float,
+    ) -> None:
+        self.kernel = kernel
+        self.caller = caller
+        self.ticket = ticket
+        self.admitted = admitted
+        self.version = caller.version
+        self.tried: list[str] = []
+        self.body = b''
+        self.position = 0
+        self._document: dict[str, Any] = {}
+        idempotent = is_idempotent(self.rule, caller.method)
+        self.progress = Progress(idempotent, False, deadline_s)
+
+    @property
+    def rule(self) -> Rule | None:
+        """Return the rule of the service for this request."""
+        rules = self.admitted.service.rules
+        return find_rule(rules, self.caller.method, self.caller.path)
+
+    @property
+    def is_model(self) -> bool:
+        """Tell whether a model engine serves this request."""
+        return self.admitted.service.kind == KIND_MODEL
+
+    def note_body(self, body: bytes) -> None:
+        """Keep the body and find out whether its stream may be resumed."""
+        self.body = body
+        if self.is_model and self.progress.idempotent:
+            self._document = _object_of(body)
+        position = self._document.get(_RESUME_FIELD)
+        self.position = position if isinstance(position, int) else 0
+        self.progress.resumable = self._document.get('stream') is True
+
+    def next_hop_id(self) -> str:
+        """Return the identity of the next attempt."""
+        attempt = self.progress.attempts + 1
+        return hop_id(self.caller.request_id, self.ticket, attempt)
+
+    def encode(self, address: str, hop: str) -> bytes:
+        """Return the request as the upstream at this address receives it."""
+        body = self._body_from_position()
+        headers = [
+            ('Host', address),
+            (HEADER_REQUEST_ID, hop),
+            ('X-Priority', str(self.admitted.priority)),
+            *without_hop_headers(self.caller.sent_headers()),
+        ]
+        if body or self.caller.method not in {'GET', 'HEAD', 'OPTIONS'}:
+            headers.append(('Content-Length', str(len(body))))
+        lines = [f'{self.caller.method} {self.caller.target()} HTTP/1.1']
+        lines.extend(f'{name}: {text}' for name, text in headers)
+        return '\r\n'.join([*lines, '', '']).encode('latin-1') + body
+
+    def _body_from_position(self) -> bytes:
+        if not self.progress.delivered:
+            return self.body
+        document = {**self._document, _RESUME_FIELD: self.position}
+        return json.dumps(document).encode()
+
+
+def without_hop_headers(headers: Headers) -> Headers:
+    """Return the headers that are passed on to the next hop."""
+    return [
+        (name, text)
+        for name, text in headers
+        if name.lower() not in HOP_HEADERS
+    ]
+
+
+def _object_of(body: bytes) -> dict[str, Any]:
+    try:
+        document = json.loads(body)
+    except ValueError:
+        return {}
+    return document if isinstance(document, dict) else {}
--- /dev/null
+++ b/apricotpin/components/frontend/keyed.py
@@ -0,0 +1,140 @@
+"""Requests that may run at most once."""
+
+import gevent
+from loguru import logger
+from result import Err, Ok, Result
+
+from apricotpin.components.frontend import answers, decisions, refusals
+from apricotpin.components.frontend.attempts import choose, try_upstream
+from apricotpin.components.frontend.callers import CallerAnswer, CallerRequest
+from apricotpin.components.frontend.const import (
+    OUTCOME_LOOKUP_S,
+    REPORT_PAUSE_S,
+    REPORT_TRIES,
+)
+from apricotpin.components.frontend.job import Job
+from apricotpin.components.frontend.verdicts import Verdict
+from apricotpin.const import SERVICE_CLAIMS
+from apricotpin.core import Kernel
+from apricotpin.errors import ErrorKind, Failure
+from apricotpin.helpers.hashing import digest_hex
+from apricotpin.messages.claims import (
+    Claim,
+    ClaimAnswer,
+    FindOutcome,
+    LookUpOutcome,
+    Outcome,
+    RecordOutcome,
+    ReportOutcome,
+    RequestClaim,
+)
+from apricotpin.messages.routing import Chosen
+
+
+def run_once(job: Job, host_id: str) -> Result[CallerAnswer, Failure]:
+    """Claim the key and send the request once, on a new connection."""
+    if not job.caller.key:
+        detail = f'{job.caller.method} {job.caller.path} is not idempotent'
+        return Err(Failure(ErrorKind.KEY_REQUIRED, detail))
+    # A key is not used up while no upstream could take the request.
+    chosen = choose(job)
+    if chosen.is_err():
+        return chosen
+    claimed = _claim(job, host_id)
+    if claimed.is_err():
+        return claimed
+    stored = answers.stored_answer(claimed.ok_value)
+    if stored is not None:
+        return Ok(stored)
+    kind = refusals.failure_of_claim(claimed.ok_value.verdict)
+    if kind is not None:
+        return Err(Failure(kind, claimed.ok_value.detail))
+    return _send(job, chosen.ok_value)
+
+
+def look_up(
+    kernel: Kernel,
+    caller: CallerRequest,
+) -> Result[CallerAnswer, Failure]:
+    """Return the stored outcome of a key."""
+    key = caller.path.removeprefix('/')
+    find = FindOutcome(caller.workspace, caller.service_name, key)
+    asked = kernel.call(SERVICE_CLAIMS, LookUpOutcome(find), OUTCOME_LOOKUP_S)
+    if asked.is_err():
+        return asked.map_err(_claims_failure)
+    found: ClaimAnswer = asked.ok_value
+    stored = answers.stored_answer(found)
+    if stored is not None:
+        return Ok(stored)
+    kind = refusals.failure_of_claim(found.verdict)
+    return Err(Failure(kind or ErrorKind.OUTCOME_UNKNOWN, found.detail))
+
+
+def _claim(job: Job, host_id: str) -> Result[ClaimAnswer, Failure]:
+    caller = job.caller
+    method, target = caller.method.encode(), caller.target().encode()
+    claim = Claim(
+        caller.workspace,
+        caller.service_name,
+        caller.key,
+        digest_hex(b'\x00'.join([method, target, job.body])),
+        host_id,
+    )
+    timeout_s = job.admitted.claim_timeout_s
+    asked = job.kernel.call(SERVICE_CLAIMS, RequestClaim(claim), timeout_s)
+    return asked.map_err(_claims_failure)
+
+
+def _send(job: Job, chosen: Chosen) -> Result[CallerAnswer, Failure]:
+    tried = try_upstream(job, chosen, may_reuse=False)
+    if tried.is_err():
+        return Err(_close(job, tried.err_value))
+    trial = tried.ok_value
+    if trial.attempt.verdict is Verdict.ANSWERED:
+        _report(job, answers.outcome_of(trial))
+        return Ok(answers.plain_answer(job, trial))
+    failure = decisions.failure_of_single(trial.attempt)
+    if failure.kind is ErrorKind.ANSWER_TOO_LARGE:
+        _report(job, answers.too_large_outcome(failure))
+    if failure.kind is ErrorKind.NOT_RUN:
+        return Err(_close(job, failure))
+    return Err(failure)
+
+
+def _close(job: Job, failure: Failure) -> Failure:
+    """Close the key as not run; say so only once this is durable."""
+    record = ReportOutcome(_record(job, None))
+    timeout_s = job.admitted.claim_timeout_s
+    reported = job.kernel.call(SERVICE_CLAIMS, record, timeout_s)
+    if reported.is_ok() and reported.ok_value.stored:
+        return Failure(ErrorKind.NOT_RUN, failure.detail)
+    detail = f'{failure.detail}; the key could not be closed'
+    return Failure(ErrorKind.CLAIMS_UNAVAILABLE, detail)
+
+
+def _report(job: Job, outcome: Outcome) -> None:
+    """Hand the outcome over; the claims service records it when it can."""
+    record = ReportOutcome(_record(job, outcome))
+    for _ in range(REPORT_TRIES):
+        if job.kernel.send(SERVICE_CLAIMS, record).is_ok():
+            return
+        gevent.sleep(REPORT_PAUSE_S)
+    logger.bind(key=job.caller.key).error('outcome_not_reported')
+
+
+def _record(job: Job, outcome: Outcome | None) -> RecordOutcome:
+    caller = job.caller
+    return RecordOutcome(
+        caller.workspace,
+        caller.service_name,
+        caller.key,
+        not_run=outcome is None,
+        outcome=outcome,
+    )
+
+
+def _claims_failure(failure: Failure) -> Failure:
+    """Keep what the claims service says of a key, and nothing else."""
+    if failure.kind in refusals.CLAIM_KINDS:
+        return failure
+    return Failure(ErrorKind.CLAIMS_UNAVAILABLE, repr(failure))
--- /dev/null
+++ b/apricotpin/components/frontend/parser.py
@@ -0,0 +1,83 @@
+"""Parser of an upstream's answer, fed with the bytes of one connection."""
+
+from http import HTTPStatus
+from typing import Final
+
+from geventhttpclient.response import HTTPParseError, HTTPResponse
+
+from apricotpin.components.frontend.const import ANSWER_HEAD_MAX_BYTES
+
+_BODILESS: Final = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+
+
+class AnswerParser(HTTPResponse):
+    """Keep one answer apart from all that follows it on the connection.
+
+    The library's parser starts over when a second answer arrives and would
+    mix the headers and bodies of both.
+    """
+
+    def __init__(self, method: str) -> None:
+        super().__init__(method=method)
+        self.surplus = False
+        self.malformed = False
+        self._parts = bytearray()
+        self._head_bytes = 0
+
+    def take(self, received: bytes) -> None:
+        """Parse received bytes; no bytes at all mark the end."""
+        if not self.head_complete:
+            self._head_bytes += len(received)
+        try:
+            self.feed(received)
+        except (HTTPParseError, ValueError):
+            self.malformed = not self.surplus
+        if not self.head_complete:
+            over = self._head_bytes > ANSWER_HEAD_MAX_BYTES
+            self.malformed = self.malformed or over
+
+    def take_body(self) -> bytes:
+        """Return the part of the body that was parsed since the last call."""
+        part = bytes(self._parts)
+        self._parts.clear()
+        return part
+
+    @property
+    def head_complete(self) -> bool:
+        """Tell whether the head of the final answer has arrived."""
+        interim = self.get_code() < HTTPStatus.OK
+        return self.headers_complete and not interim
+
+    @property
+    def whole(self) -> bool:
+        """Tell whether the answer ended as its own framing announced.
+
+        An answer that ends with its connection can't be told apart from a
+        truncated one.
+        """
+        return self.message_complete and self._framed
+
+    @property
+    def reusable(self) -> bool:
+        """Tell whether the connection may carry another request."""
+        return self.whole and not self.surplus and self.should_keep_alive()
+
+    def header(self, name: str) -> str:
+        """Return the value of a header, or nothing if it is not single."""
+        field = self.get(name, '')
+        return field if isinstance(field, str) else ''
+
+    def _on_body(self, buf: bytearray) -> None:
+        self._parts += buf
+
+    def _on_message_begin(self) -> None:
+        if self.message_complete and self.head_complete:
+            self.surplus = True
+            raise ValueError('bytes follow the answer')
+        super()._on_message_begin()
+
+    @property
+    def _framed(self) -> bool:
+        if self.method == 'HEAD' or self.get_code() in _BODILESS:
+            return True
+        return 'content-length' in self or 'transfer-encoding' in self
--- /dev/null
+++ b/apricotpin/components/frontend/streams.py
@@ -0,0 +1,62 @@
+"""The events of one upstream's stream, checked as they arrive."""
+
+import time
+
+from result import Err, Ok, Result
+
+from apricotpin.components.frontend.const import STREAM_END_S
+from apricotpin.components.frontend.events import Event, EventSplitter
+from apricotpin.components.frontend.exchange import Exchange
+from apricotpin.components.frontend.verdicts import Verdict
+from apricotpin.messages.routing import Chosen
+
+
+class EventStream:
+    """Own an exchange whose answer is a stream of events.
+
+    position is the number of the token that is expected next.
+    """
+
+    __slots__ = ('chosen', 'exchange', 'position', '_ready', '_splitter')
+
+    def __init__(self, used: Exchange, chosen: Chosen, position: int) -> None:
+        self.exchange = used
+        self.chosen = chosen
+        self.position = position
+        self._splitter = EventSplitter()
+        self._ready: list[Event] = []
+
+    def fill(self) -> Verdict | None:
+        """Wait until at least one event is whole; return what failed."""
+        while not self._ready:
+            part = self.exchange.read_part()
+            if part.is_err():
+                return part.err_value
+            if not part.ok_value or self._splitter.overflows:
+                return Verdict.TRUNCATED
+            self._ready = self._splitter.take(part.ok_value)
+        return self._check_first()
+
+    def next_event(self) -> Result[Event, Verdict]:
+        """Return the next event that may be passed on."""
+        failed = self.fill()
+        if failed:
+            return Err(failed)
+        event = self._ready.pop(0)
+        if event.is_token:
+            self.position += 1
+        return Ok(event)
+
+    def finish(self) -> None:
+        """Read the end of the answer, so that its connection can be kept."""
+        self.exchange.extend(time.monotonic() + STREAM_END_S)
+        self.exchange.read_part()
+
+    def _check_first(self) -> Verdict | None:
+        event = self._ready[0]
+        if event.is_error:
+            return Verdict.TRUNCATED
+        if event.is_token and event.index not in {None, self.position}:
+            # A token that was skipped or sent twice is not of this answer.
+            return Verdict.CROSSED
+        return None
--- a/apricotpin/components/metrics/const.py
+++ b/apricotpin/components/metrics/const.py
@@ -33,6 +33,9 @@
         'kind',
     ),
     Metric('retries_total', KIND_COUNTER, 'retries, by reason', 'reason'),
+    Metric(
+        'suspicions_total', KIND_COUNTER, 'failures that suspect an upstream'
+    ),
     Metric('requests_total', KIND_COUNTER, 'callers requests accepted'),
     Metric('requests_in_flight', KIND_GAUGE, 'callers requests in progress'),
     Metric(
--- a/apricotpin/const.py
+++ b/apricotpin/const.py
@@ -27,5 +27,9 @@
 HOST_SUSPECTED: Final = 'suspected'
 HOST_LEAVING: Final = 'leaving'
 
+# Kinds of a service in the configuration document.
+KIND_MODEL: Final = 'model'
+KIND_PLAIN: Final = 'plain'
+
 MAILBOX_SIZE: Final = 1024
 CALL_TIMEOUT_S: Final = 5.0
--- a/apricotpin/errors.py
+++ b/apricotpin/errors.py
@@ -10,18 +10,21 @@
     """Name every way in which a request or an order can fail."""
 
     BAD_REQUEST = 'bad_request'
+    REQUEST_TOO_LARGE = 'request_too_large'
     UNKNOWN_SERVICE = 'unknown_service'
     KEY_REQUIRED = 'key_required'
     KEY_INVALID = 'key_invalid'
     KEY_EXPIRED = 'key_expired'
     KEY_REUSED = 'key_reused'
     OUTCOME_NOT_FOUND = 'outcome_not_found'
+    OUTCOME_NOT_STORED = 'outcome_not_stored'
     NOT_RUN = 'not_run'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     CLAIMS_UNAVAILABLE = 'claims_unavailable'
     OVERLOADED = 'overloaded'
     NO_UPSTREAM = 'no_upstream'
     UPSTREAM_FAILED = 'upstream_failed'
+    ANSWER_TOO_LARGE = 'answer_too_large'
     RETRY_BUDGET_EMPTY = 'retry_budget_empty'
     STOPPING = 'stopping'
     NOT_READY = 'not_ready'
@@ -104,6 +107,9 @@
         ErrorKind.BAD_REQUEST: Answer(
             HTTPStatus.BAD_REQUEST, Repeat.NO, Executed.NO
         ),
+        ErrorKind.REQUEST_TOO_LARGE: Answer(
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE, Repeat.NO, Executed.NO
+        ),
         ErrorKind.UNKNOWN_SERVICE: Answer(
             HTTPStatus.NOT_FOUND, Repeat.NO, Executed.NO
         ),
@@ -123,6 +129,10 @@
         ErrorKind.OUTCOME_NOT_FOUND: Answer(
             HTTPStatus.NOT_FOUND, Repeat.SAME_KEY, Executed.UNKNOWN
         ),
+        # The action ran, but its answer was too large for the log.
+        ErrorKind.OUTCOME_NOT_STORED: Answer(
+            HTTPStatus.GONE, Repeat.NO, Executed.YES
+        ),
         ErrorKind.NOT_RUN: Answer(
             HTTPStatus.SERVICE_UNAVAILABLE, Repeat.NEW_KEY, Executed.NO
         ),
@@ -144,6 +154,10 @@
         ErrorKind.UPSTREAM_FAILED: Answer(
             HTTPStatus.BAD_GATEWAY, Repeat.YES, Executed.UNKNOWN
         ),
+        # The upstream ran the request, and another run answers no less.
+        ErrorKind.ANSWER_TOO_LARGE: Answer(
+            HTTPStatus.BAD_GATEWAY, Repeat.NO, Executed.YES
+        ),
         ErrorKind.RETRY_BUDGET_EMPTY: Answer(
             HTTPStatus.SERVICE_UNAVAILABLE, Repeat.YES, Executed.UNKNOWN
         ),
--- /dev/null
+++ b/apricotpin/messages/routing.py
@@ -0,0 +1,178 @@
+"""Messages about callers' requests and the choice of an upstream."""
+
+from typing import Any, Final
+
+from apricotpin.messages.document import ServiceConfig
+
+
+class BeginCall:
+    """Ask the frontend whether a new request may start."""
+
+    __slots__ = ('ticket',)
+
+    def __init__(self, ticket: str) -> None:
+        self.ticket = ticket
+
+
+class EndCall:
+    """Tell the frontend that a request ended, whether or not it began."""
+
+    __slots__ = ('ticket',)
+
+    def __init__(self, ticket: str) -> None:
+        self.ticket = ticket
+
+
+class AwaitDrained:
+    """Ask the frontend to answer once no request is in progress."""
+
+    __slots__ = ()
+
+
+class RefuseNewCalls:
+    """Tell the frontend that the announcement of the stop is over."""
+
+    __slots__ = ()
+
+
+class TakeConnection:
+    """Ask for an idle connection to an address; the asker then owns it."""
+
+    __slots__ = ('address',)
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+
+
+class KeepConnection:
+    """Hand an idle connection over for a later request."""
+
+    __slots__ = ('address', 'connection')
+
+    def __init__(self, address: str, connection: Any) -> None:
+        self.address = address
+        self.connection = connection
+
+
+class DropConnections:
+    """Close the idle connections to an address, after one of them failed."""
+
+    __slots__ = ('address',)
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+
+
+class CloseIdleConnections:
+    """Close the connections that have been idle for too long."""
+
+    __slots__ = ()
+
+
+class Admit:
+    """Ask the router to admit a request to a service.
+
+    The ticket names the request in all later messages. A priority of None
+    stands for the priority of the workspace.
+    """
+
+    __slots__ = ('priority', 'service_name', 'ticket', 'workspace')
+
+    def __init__(
+        self,
+        ticket: str,
+        service_name: str,
+        workspace: str,
+        priority: int | None,
+    ) -> None:
+        self.ticket = ticket
+        self.service_name = service_name
+        self.workspace = workspace
+        self.priority = priority
+
+
+class Admitted:
+    """Return what the frontend needs to know to run a request."""
+
+    __slots__ = ('claim_timeout_s', 'priority', 'service')
+
+    def __init__(
+        self,
+        service: ServiceConfig,
+        priority: int,
+        claim_timeout_s: float,
+    ) -> None:
+        self.service = service
+        self.priority = priority
+        self.claim_timeout_s = claim_timeout_s
+
+
+class ChooseUpstream:
+    """Ask for an upstream of the ticket's service.
+
+    The version is empty when any will do. The retry reason is empty for the
+    first attempt; any other counts against the retry budget. Hosts that were
+    tried are chosen last. The answer is Chosen or Resting.
+    """
+
+    __slots__ = ('retry_reason', 'ticket', 'tried', 'version')
+
+    def __init__(
+        self,
+        ticket: str,
+        version: str = '',
+        tried: tuple[str, ...] = (),
+        retry_reason: str = '',
+    ) -> None:
+        self.ticket = ticket
+        self.version = version
+        self.tried = tried
+        self.retry_reason = retry_reason
+
+
+class Chosen:
+    """Name the upstream for an attempt and when it was checked.
+
+    checked_s is a reading of the monotonic clock in seconds.
+    """
+
+    __slots__ = ('address', 'checked_s', 'host_id')
+
+    def __init__(self, host_id: str, address: str, checked_s: float) -> None:
+        self.host_id = host_id
+        self.address = address
+        self.checked_s = checked_s
+
+
+class Resting:
+    """Say that every upstream is suspected, and for how long at least."""
+
+    __slots__ = ('wait_s',)
+
+    def __init__(self, wait_s: float) -> None:
+        self.wait_s = wait_s
+
+
+class AttemptEnded:
+    """Report how an attempt ended; health is one of the names below."""
+
+    __slots__ = ('health', 'ticket')
+
+    def __init__(self, ticket: str, health: str) -> None:
+        self.ticket = ticket
+        self.health = health
+
+
+class EndRequest:
+    """Give back everything that a ticket holds."""
+
+    __slots__ = ('ticket',)
+
+    def __init__(self, ticket: str) -> None:
+        self.ticket = ticket
+
+
+# What an attempt says about its upstream.
+HEALTH_WORKS: Final = 'works'
+HEALTH_FAILED: Final = 'failed'
+HEALTH_UNJUDGED: Final = 'unjudged'
--- /dev/null
+++ b/tests/components/frontend/streams.feature
@@ -0,0 +1,97 @@
+Feature: Streams
+  A caller's stream is one whole answer of one version, or ends in a way that
+  can't be mistaken for a normal end.
+
+  Scenario Outline: a stream cut by <fault> resumes on a worker with its version
+    Given frontend with upstreams "near, far" of "drafting"
+    And frontend upstream "near" has the fault "<fault>"
+    When frontend streams 6 tokens
+    Then frontend passed on tokens 0 to 5 of version v1 and the end
+    And frontend upstream "far" was asked to resume from <resume>
+    And frontend counted 1 retries for <reason>
+    And frontend holds nothing of the request
+
+    Examples:
+      | fault         | resume | reason              |
+      | reset         | 2      | truncated           |
+      | cut           | 2      | truncated           |
+      | killed        | 2      | truncated           |
+      | ended         | 2      | truncated           |
+      | errs          | 2      | truncated           |
+      | half_event    | 2      | truncated           |
+      | silent        | 2      | silent              |
+      | skips         | 2      | crossed_answer      |
+      | repeats       | 2      | crossed_answer      |
+      | no_end        | 6      | truncated           |
+      | reset_at_once | 0      | truncated           |
+      | no_version    | 0      | wrong_version       |
+      | status_503    | 0      | upstream_busy       |
+
+  Scenario Outline: a stream that can't resume ends with an error event
+    Given frontend with upstreams "near" of "drafting"
+    And frontend has a far upstream of "drafting" with <other>
+    And frontend upstream "near" has the fault "<fault>"
+    When frontend streams 6 tokens
+    Then frontend ended the stream after token 1 with <kind> and no final chunk
+    And frontend upstream "far" received nothing
+    And frontend holds nothing of the request
+
+    Examples:
+      | fault  | other          | kind            |
+      | killed | version v2     | upstream_failed |
+      | killed | state leaving  | upstream_failed |
+      | killed | state switching | upstream_failed |
+      | killed | state suspected | upstream_failed |
+
+  Scenario: a stream that goes on failing ends after a bounded number of attempts
+    Given frontend with upstreams "near, far" of "drafting"
+    And frontend upstream "near" always has the fault "reset"
+    And frontend upstream "far" always has the fault "reset"
+    When frontend streams 30 tokens
+    Then frontend ended the stream with upstream_failed and no final chunk
+    And frontend upstreams ran it 4 times
+
+  Scenario Outline: a request for version <version> is answered by it or refused
+    Given frontend with upstreams "near" of "drafting"
+    And frontend has a far upstream of "drafting" with version v2
+    When frontend streams 4 tokens of version <version>
+    Then frontend answered <answer> with version <named>
+
+    Examples:
+      | version | answer      | named |
+      | v1      | ok          | v1    |
+      | v2      | ok          | v2    |
+      | v3      | no_upstream | -     |
+
+  Scenario: a worker that switched unnoticed does not answer for its old version
+    Given frontend with upstreams "near, far" of "drafting"
+    And frontend upstream "near" has the fault "wrong_version"
+    When frontend streams 6 tokens of version v1
+    Then frontend passed on tokens 0 to 5 of version v1 and the end
+    And frontend counted 1 retries for wrong_version
+
+  Scenario: a stream never goes on with tokens of another version
+    Given frontend with upstreams "near, far, farther" of "drafting"
+    And frontend upstream "near" has the fault "reset"
+    And frontend upstream "far-1" always has the fault "wrong_version"
+    And frontend upstream "farther" always has the fault "wrong_version"
+    When frontend streams 30 tokens
+    Then frontend ended the stream after token 1 with upstream_failed and no final chunk
+    And frontend counted at least 2 retries for wrong_version
+
+  Scenario: a plain answer of an engine names its version
+    Given frontend with upstreams "near" of "drafting"
+    When frontend asks for 4 tokens at once
+    Then frontend answered ok with version v1
+
+  Scenario: a caller that leaves in mid-stream cancels the upstream's request
+    Given frontend with upstreams "near" of "drafting"
+    When frontend's caller leaves after the first of 400 tokens
+    Then frontend upstream "near" saw its connection end before token 100
+    And frontend holds nothing of the request
+
+  Scenario: a caller that stops reading does not hold up other callers
+    Given frontend with upstreams "near" of "drafting"
+    When frontend's caller stops reading a stream of 100000 tokens
+    And frontend streams 6 tokens
+    Then frontend passed on tokens 0 to 5 of version v1 and the end
