--- a/script/standins/__main__.py
+++ b/script/standins/__main__.py
@@ -1,24 +1,22 @@
 """Run one stand-in: python -m script.standins NAME --listen ip:port."""
 
-# The standard library is patched before anything that uses sockets.
-from gevent import monkey
+from script import patched  # noqa: F401, I001 (must come first)
 
-monkey.patch_all()
+import pathlib
+from typing import Annotated
 
-import pathlib  # noqa: E402
-from typing import Annotated  # noqa: E402
+import typer
 
-import typer  # noqa: E402
-
-from script.standins import (  # noqa: E402
+from script.standins import (
     engine,
     engine_state,
     host_list,
+    links,
     log,
     origin,
     plain,
 )
-from script.standins.contents import Weights  # noqa: E402
+from script.standins.contents import Weights, manifest_of
 
 Listen = Annotated[str, typer.Option('--listen', help='ip:port.')]
 
@@ -69,10 +67,22 @@
     in_flight_max: int = 16,
     queue_max: int = 64,
     checks_fencing: bool = True,
+    serves: str = '',
 ) -> None:
-    """Serve a model engine."""
+    """Serve a model engine.
+
+    SERVES is a version that it holds from the start, in the origin's form.
+    """
     limits = engine_state.EngineLimits(in_flight_max, queue_max, checks_fencing)
-    engine.run(listen, engine_state.EngineService(limits), token_s)
+    active = None
+    if serves:
+        weights = Weights.from_text(serves)
+        manifest = manifest_of(weights)
+        active = engine_state.StoreVersion(
+            weights.model, weights.version, manifest['digest'], 0, 0
+        )
+    service = engine_state.EngineService(limits, active)
+    engine.run(listen, service, token_s)
 
 
 @app.command('plain')
@@ -86,5 +96,11 @@
     plain.run(listen, service, work_s, echo)
 
 
+@app.command('links')
+def run_links(listen: Listen, plan: pathlib.Path) -> None:
+    """Relay between hosts over the paced links of PLAN, a JSON file."""
+    links.run(listen, plan)
+
+
 if __name__ == '__main__':
     app()
--- a/script/standins/contents.py
+++ b/script/standins/contents.py
@@ -39,6 +39,11 @@
         model, version = name.split('/')
         return cls(model, version, int(size_bytes), int(chunk_bytes))
 
+    def as_text(self) -> str:
+        """Return the form that from_text takes."""
+        name = f'{self.model}/{self.version}'
+        return f'{name}:{self.size_bytes}:{self.chunk_bytes}'
+
     @property
     def chunk_count(self) -> int:
         """Return the number of chunks."""
--- a/script/standins/engine_state.py
+++ b/script/standins/engine_state.py
@@ -109,10 +109,16 @@
         '_waiting',
     )
 
-    def __init__(self, limits: EngineLimits) -> None:
+    def __init__(
+        self,
+        limits: EngineLimits,
+        active: StoreVersion | None = None,
+    ) -> None:
         self._limits = limits
-        self._active: StoreVersion | None = None
+        self._active = active
         self._held: dict[tuple[str, str], StoreVersion] = {}
+        if active is not None:
+            self._held[active.model, active.version] = active
         self._fencing_number = -1
         self._in_flight = 0
         self._waiting: list[Any] = []
