Add weights and engine: striped pull, checked chunks, fenced orders

Cause: both components were placeholders. Change: weights computes striped trees from the host list, pulls chunks with one worker for each place in a stripe's window, checks them and serves them; engine loads, activates, reads the status back and confirms.

--- a/apricotpin/components/engine/__init__.py
+++ b/apricotpin/components/engine/__init__.py
@@ -1,12 +1,42 @@
-"""Placeholder of the engine component; registers nothing yet."""
+"""Order the local engine to serve a version and confirm that it does."""
 
 from result import Ok, Result
 
+from apricotpin.components.engine.const import TICK_S
+from apricotpin.components.engine.service import EngineService
+from apricotpin.const import SERVICE_ENGINE
 from apricotpin.core import Kernel
 from apricotpin.errors import Failure
+from apricotpin.messages.admin import GetServiceStatus
+from apricotpin.messages.document import ConfigChanged
+from apricotpin.messages.hosts import HostsChanged
+from apricotpin.messages.transfers import (
+    EngineTick,
+    ExpectVersion,
+    ReadDone,
+    StepDone,
+)
+from apricotpin.messages.weights import VersionComplete
 from apricotpin.settings import Settings
 
 
 def setup(kernel: Kernel, settings: Settings) -> Result[None, Failure]:
-    """Register nothing."""
+    """Register the engine service, unless there is no engine."""
+    if not settings.engine_url:
+        return Ok(None)
+    service = EngineService(kernel, settings)
+    kernel.register(
+        SERVICE_ENGINE,
+        {
+            ConfigChanged: service.note_config,
+            HostsChanged: service.note_hosts,
+            ExpectVersion: service.expect,
+            VersionComplete: service.take_version,
+            EngineTick: service.tick,
+            ReadDone: service.note_read,
+            StepDone: service.note_step,
+            GetServiceStatus: service.report,
+        },
+    )
+    kernel.every(SERVICE_ENGINE, EngineTick(), TICK_S)
     return Ok(None)
--- /dev/null
+++ b/apricotpin/components/weights/notices.py
@@ -0,0 +1,94 @@
+"""What other services, the log and the metrics learn of a transfer."""
+
+from typing import Final
+
+from loguru import logger
+
+from apricotpin.components.weights.plan import Plan
+from apricotpin.components.weights.report import Totals
+from apricotpin.components.weights.transfer import Transfer
+from apricotpin.const import SERVICE_ADMIN, SERVICE_ENGINE, SERVICE_WEIGHTS
+from apricotpin.core import Kernel
+from apricotpin.errors import ErrorKind
+from apricotpin.helpers.metrics import count, count_refusal, set_gauge
+from apricotpin.messages.admin import Health
+from apricotpin.messages.transfers import ExpectVersion, FetchDone
+from apricotpin.messages.weights import VersionComplete
+
+_CORRUPT_KINDS: Final = (ErrorKind.CHUNK_CORRUPT, ErrorKind.MANIFEST_CORRUPT)
+
+
+class Notices:
+    """Own the byte totals; send messages to engine, admin and metrics."""
+
+    __slots__ = ('_kernel', '_plan', '_totals')
+
+    def __init__(self, kernel: Kernel, plan: Plan, totals: Totals) -> None:
+        self._kernel = kernel
+        self._plan = plan
+        self._totals = totals
+
+    def expect(self, target: Transfer) -> None:
+        """Tell the engine service which version is wanted, once it is known."""
+        if target.manifest is None:
+            return
+        expected = ExpectVersion(target.manifest, self._plan.fencing_number)
+        self._kernel.send(SERVICE_ENGINE, expected)
+
+    def hand_over(self, target: Transfer) -> None:
+        """Hand the whole, checked version to the engine service."""
+        complete = VersionComplete(
+            target.manifest,
+            self._plan.fencing_number,
+            list(target.chunks),
+        )
+        self._kernel.send(SERVICE_ENGINE, complete)
+        logger.bind(
+            version=target.target.version,
+            bytes_from_origin=self._totals.bytes_from_origin,
+            bytes_from_peers=self._totals.bytes_from_peers,
+        ).info('version_complete')
+
+    def refuse_size(self, target: Transfer, memory_bytes: int) -> None:
+        """Report once that a version exceeds the memory for weights."""
+        if target.refused:
+            return
+        target.refused = True
+        reason = (
+            f'{ErrorKind.VERSION_TOO_LARGE.value}: '
+            f'version={target.target.version} '
+            f'size_bytes={target.size_bytes()} '
+            f'weights_memory_bytes={memory_bytes}'
+        )
+        count_refusal(self._kernel, ErrorKind.VERSION_TOO_LARGE)
+        logger.bind(detail=reason).error('version_refused')
+        self.report_health(reason)
+
+    def note_bytes(self, message: FetchDone, chunks_held: int) -> None:
+        """Count checked bytes under the kind of their source."""
+        kind = message.order.source.kind
+        size_bytes = len(message.outcome.ok_value)
+        self._totals.add_received(kind, size_bytes)
+        count(self._kernel, 'chunk_bytes_total', kind, size_bytes)
+        set_gauge(self._kernel, 'chunks_held', chunks_held)
+
+    def note_retry(self, message: FetchDone, reason: ErrorKind) -> None:
+        """Log why a fetch is repeated."""
+        failed = message.outcome.is_err()
+        bound = logger.bind(
+            reason=reason.value,
+            source=message.order.source.kind,
+            source_host=message.order.source.host_id,
+            index=message.order.index,
+            detail=message.outcome.err_value.detail if failed else '',
+        )
+        if reason in _CORRUPT_KINDS:
+            count_refusal(self._kernel, reason)
+            bound.warning('fetch_failed')
+            return
+        bound.debug('fetch_failed')
+
+    def report_health(self, reason: str) -> None:
+        """Report the service not ready for a reason, or ready."""
+        health = Health(SERVICE_WEIGHTS, not reason, reason)
+        self._kernel.send(SERVICE_ADMIN, health)
--- /dev/null
+++ b/apricotpin/messages/transfers.py
@@ -0,0 +1,159 @@
+"""Messages between the weights and engine services and their workers."""
+
+from typing import Any
+
+from result import Result
+
+from apricotpin.errors import Failure
+from apricotpin.messages.weights import Manifest
+
+
+class Source:
+    """Name where a chunk comes from; depth counts hosts up to the origin."""
+
+    __slots__ = ('address', 'depth', 'host_id', 'kind')
+
+    def __init__(
+        self,
+        kind: str,
+        host_id: str = '',
+        address: str = '',
+        depth: int = 0,
+    ) -> None:
+        self.kind = kind
+        self.host_id = host_id
+        self.address = address
+        self.depth = depth
+
+
+class Lane:
+    """Name one fetch worker: a place in the window of a stripe."""
+
+    __slots__ = ('place', 'stripe', 'transfer_id')
+
+    def __init__(self, transfer_id: int, stripe: int, place: int) -> None:
+        self.transfer_id = transfer_id
+        self.stripe = stripe
+        self.place = place
+
+
+class NextFetch:
+    """Ask for the next fetch of a lane; answered when there is one."""
+
+    __slots__ = ('lane',)
+
+    def __init__(self, lane: Lane) -> None:
+        self.lane = lane
+
+
+class FetchOrder:
+    """Order a lane to fetch a chunk, or the manifest, from a source."""
+
+    __slots__ = ('index', 'model', 'source', 'timeout_s', 'version', 'wait_ms')
+
+    def __init__(
+        self,
+        model: str,
+        version: str,
+        index: int,
+        source: Source,
+        wait_ms: int,
+        timeout_s: float,
+    ) -> None:
+        self.model = model
+        self.version = version
+        self.index = index
+        self.source = source
+        self.wait_ms = wait_ms
+        self.timeout_s = timeout_s
+
+
+class FetchDone:
+    """Report the bytes that a lane received, unchecked, or the failure."""
+
+    __slots__ = ('lane', 'order', 'outcome')
+
+    def __init__(
+        self,
+        lane: Lane,
+        order: FetchOrder,
+        outcome: Result[bytes, Failure],
+    ) -> None:
+        self.lane = lane
+        self.order = order
+        self.outcome = outcome
+
+
+class WeightsTick:
+    """Ask for overdue waits to be answered and pauses to be ended."""
+
+    __slots__ = ()
+
+
+class ExpectVersion:
+    """Tell the engine service which version its engine shall serve."""
+
+    __slots__ = ('fencing_number', 'manifest')
+
+    def __init__(self, manifest: Manifest, fencing_number: int) -> None:
+        self.manifest = manifest
+        self.fencing_number = fencing_number
+
+
+class ChunksNeeded:
+    """Tell the weights service that the engine lacks a version."""
+
+    __slots__ = ('model', 'version')
+
+    def __init__(self, model: str, version: str) -> None:
+        self.model = model
+        self.version = version
+
+
+class EngineTick:
+    """Ask for the next step of the order in progress."""
+
+    __slots__ = ()
+
+
+class EngineReport:
+    """Hold what the engine says it serves."""
+
+    __slots__ = ('digest', 'fencing_number', 'in_flight', 'model', 'version')
+
+    def __init__(self, fields: Any) -> None:
+        self.model: str = fields['model']
+        self.version: str = fields['version']
+        self.digest: str = fields['digest']
+        self.fencing_number: int = fields['fencing_number']
+        self.in_flight: int = fields['in_flight']
+
+
+class StepDone:
+    """Report the outcome of an order for the version with this digest."""
+
+    __slots__ = ('digest', 'outcome', 'step')
+
+    def __init__(
+        self,
+        step: str,
+        digest: str,
+        outcome: Result[None, Failure],
+    ) -> None:
+        self.step = step
+        self.digest = digest
+        self.outcome = outcome
+
+
+class ReadDone:
+    """Report what the engine serves; serial tells when the read began."""
+
+    __slots__ = ('outcome', 'serial')
+
+    def __init__(
+        self,
+        serial: int,
+        outcome: Result[EngineReport, Failure],
+    ) -> None:
+        self.serial = serial
+        self.outcome = outcome
--- a/apricotpin/messages/weights.py
+++ b/apricotpin/messages/weights.py
@@ -4,9 +4,13 @@
 
 
 class FetchChunk:
-    """Ask for a chunk and wait up to wait_ms for it."""
+    """Ask for a chunk and wait up to wait_ms for it.
+
+    Index -1 asks for the manifest as the origin sent it.
+    """
 
     __slots__ = (
+        'host_id',
         'index',
         'model',
         'version',
@@ -19,11 +23,13 @@
         version: str,
         index: int,
         wait_ms: int,
+        host_id: str = '',
     ) -> None:
         self.model = model
         self.version = version
         self.index = index
         self.wait_ms = wait_ms
+        self.host_id = host_id
 
 
 class ChunkAnswer:
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -47,13 +47,16 @@
   3: string document_json
 }
 
+// index -1 asks for the manifest; host_id is the host that asks
 struct FetchChunk {
   1: string model
   2: string version
   3: i32 index
   4: i32 wait_ms
+  5: string host_id
 }
 
+// status: ok, not_yet, blocked, busy, unknown_version
 struct ChunkAnswer {
   1: string status
   2: binary data
