--- a/apricotpin/bootstrap.py
+++ b/apricotpin/bootstrap.py
@@ -1,10 +1,9 @@
 """Set up the components of a role in the order of their dependencies."""
 
 import graphlib
-import importlib
 import json
-import pathlib
 import types
+from importlib import import_module, resources
 from typing import Any, Final
 
 import gevent
@@ -18,8 +17,6 @@
 from apricotpin.helpers.logs import configure_logs
 from apricotpin.settings import Settings
 
-_COMPONENTS_PATH: Final = pathlib.Path(__file__).parent / 'components'
-
 ROLE_COMPONENTS: Final = types.MappingProxyType(
     {
         const.ROLE_ENTRY: (
@@ -88,8 +85,8 @@
 
 def read_manifest(name: str) -> dict[str, Any]:
     """Return the manifest of a component."""
-    path = _COMPONENTS_PATH / name / 'manifest.json'
-    return json.loads(path.read_text())
+    component = resources.files(f'apricotpin.components.{name}')
+    return json.loads(component.joinpath('manifest.json').read_text())
 
 
 def _set_up_component(
@@ -98,7 +95,7 @@
     settings: Settings,
 ) -> Result[None, Failure]:
     try:
-        component = importlib.import_module(f'apricotpin.components.{name}')
+        component = import_module(f'apricotpin.components.{name}')
     except ImportError as error:
         return Err(Failure(ErrorKind.INTERNAL, repr(error)))
     return component.setup(kernel, settings)
--- a/apricotpin/cli.py
+++ b/apricotpin/cli.py
@@ -17,6 +17,8 @@
     no_args_is_help=True,
     add_completion=False,
     pretty_exceptions_enable=False,
+    # Errors stay on one line, as scripts expect.
+    rich_markup_mode=None,
     help='Distribute model weights in bursts while requests keep flowing.',
 )
 app.command('entry')(processes.entry)
--- a/apricotpin/helpers/schemas.py
+++ b/apricotpin/helpers/schemas.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 from collections.abc import Callable
+from importlib import resources
 from typing import Any, Final
 
 import fastjsonschema
@@ -10,7 +11,7 @@
 
 from apricotpin.errors import ErrorKind, Failure
 
-_SCHEMAS_PATH: Final = pathlib.Path(__file__).parent.parent / 'schemas'
+_SCHEMAS_PACKAGE: Final = 'apricotpin.schemas'
 
 Check = Callable[[Any], Result[Any, Failure]]
 
@@ -21,8 +22,9 @@
     Its failure names the path in the document, the value and what was
     expected.
     """
-    path = _SCHEMAS_PATH / f'{schema_name}.json'
-    validate = fastjsonschema.compile(json.loads(path.read_text()))
+    schemas = resources.files(_SCHEMAS_PACKAGE)
+    text = schemas.joinpath(f'{schema_name}.json').read_text()
+    validate = fastjsonschema.compile(json.loads(text))
 
     def check(document: Any) -> Result[Any, Failure]:
         try:
--- a/apricotpin/helpers/wire.py
+++ b/apricotpin/helpers/wire.py
@@ -1,15 +1,25 @@
 """Conversion between message classes and thrift structs of the same name."""
 
-import pathlib
+import io
 import types
+from importlib import resources
 from typing import Any, Final
 
 import thriftpy2
 
 from apricotpin.messages import claims, configuration, hosts, weights
 
-_IDL_PATH: Final = pathlib.Path(__file__).parent.parent / 'wire/peer.thrift'
-PEER_IDL: Final = thriftpy2.load(str(_IDL_PATH), module_name='peer_thrift')
+
+def _load_idl() -> Any:
+    # Read as a resource, since the one-file program has no such path.
+    text = resources.files('apricotpin.wire').joinpath('peer.thrift')
+    return thriftpy2.load_fp(
+        io.StringIO(text.read_text()),
+        module_name='peer_thrift',
+    )
+
+
+PEER_IDL: Final = _load_idl()
 
 
 def _struct_names() -> list[str]:
--- /dev/null
+++ b/apricotpin/schemas/__init__.py
@@ -0,0 +1,1 @@
+"""JSON schemas of settings and configuration."""
