Add configuration, members and the first operator commands

Cause: every other component waits for ConfigChanged and HostsChanged. Change: configuration folds the config stream by long poll; members reads the host list, exchanges heartbeats and table changes with peers and announces hosts; config check|publish|show and rollout start work against the log. The kernel publishes Started after setup, so that no service misses the first announcement. Schema defaults that are objects receive their nested defaults.

--- a/apricotpin/bootstrap.py
+++ b/apricotpin/bootstrap.py
@@ -13,7 +13,7 @@
 from result import Err, Ok, Result
 
 from apricotpin import const
-from apricotpin.core import Kernel
+from apricotpin.core import Kernel, Started
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.logs import configure_logs
 from apricotpin.settings import Settings
@@ -70,6 +70,7 @@
             detail = f'component={name} {failure.detail}'
             return Err(Failure(failure.kind, detail))
         gevent.sleep(0)
+    kernel.publish(Started())
     return Ok(None)
 
 
--- a/apricotpin/cli.py
+++ b/apricotpin/cli.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from apricotpin.commands import processes
+from apricotpin.commands import config, processes, rollout
 from apricotpin.const import PROGRAM, VERSION
 
 ShowVersion = Annotated[
@@ -21,6 +21,8 @@
 )
 app.command('entry')(processes.entry)
 app.command('agent')(processes.agent)
+app.add_typer(config.app, name='config')
+app.add_typer(rollout.app, name='rollout')
 
 
 @app.callback(invoke_without_command=True)
--- /dev/null
+++ b/apricotpin/commands/output.py
@@ -0,0 +1,25 @@
+"""Output and exit codes shared by the commands."""
+
+from typing import Any, Final, NoReturn
+
+import typer
+from result import Result
+
+from apricotpin.errors import Failure
+
+EXIT_FAILED: Final = 1
+EXIT_USAGE: Final = 2
+
+
+def fail(failure: Failure) -> NoReturn:
+    """Print a failure on one line and end with exit code 1."""
+    detail = ' '.join(failure.detail.split())
+    typer.echo(f'error={failure.kind.value} {detail}', err=True)
+    raise typer.Exit(EXIT_FAILED)
+
+
+def value_or_exit(outcome: Result[Any, Failure]) -> Any:
+    """Return the value of a result, or print its failure and end."""
+    if outcome.is_err():
+        fail(outcome.err_value)
+    return outcome.ok_value
--- /dev/null
+++ b/apricotpin/components/configuration/decisions.py
@@ -0,0 +1,125 @@
+"""Fold the records of the configuration stream; no I/O."""
+
+from typing import Any
+
+from result import Err, Result
+
+from apricotpin.components.configuration import const
+from apricotpin.components.configuration.bundle import Bundle
+from apricotpin.errors import ErrorKind, Failure
+from apricotpin.helpers.log_client import LogPage, LogRecord
+
+
+class FoldState:
+    """Hold the outcome of folding all records before folded_offset.
+
+    folded_offset is the next offset to fold, accepted_offset the offset of
+    the accepted record or -1, bundle its content or None.
+    """
+
+    __slots__ = ('accepted_offset', 'bundle', 'folded_offset')
+
+    def __init__(
+        self,
+        folded_offset: int = 0,
+        accepted_offset: int = const.NO_OFFSET,
+        bundle: Bundle | None = None,
+    ) -> None:
+        self.folded_offset = folded_offset
+        self.accepted_offset = accepted_offset
+        self.bundle = bundle
+
+
+class FoldStep:
+    """Hold the state after a record and the verdict on that record."""
+
+    __slots__ = ('state', 'verdict')
+
+    def __init__(self, state: FoldState, verdict: str) -> None:
+        self.state = state
+        self.verdict = verdict
+
+
+def fold_record(state: FoldState, record: LogRecord) -> FoldStep:
+    """Fold the record at the state's folded_offset.
+
+    Every process folds the same records in the same order, so of two
+    publishers that name the same based_on the earlier record wins everywhere.
+    """
+    if record.offset < state.folded_offset:
+        return FoldStep(state, const.VERDICT_SEEN)
+    skipped = FoldState(record.offset + 1, state.accepted_offset, state.bundle)
+    kind = _field(record.value, 'kind')
+    if kind == const.KIND_CHECKPOINT:
+        return FoldStep(skipped, const.VERDICT_CHECKPOINT)
+    if kind != const.KIND_PUBLISH:
+        return FoldStep(skipped, const.VERDICT_INVALID)
+    if _field(record.value, 'based_on') != state.accepted_offset:
+        return FoldStep(skipped, const.VERDICT_CONFLICT)
+    bundle = Bundle.from_config(record.value)
+    if bundle.is_err():
+        return FoldStep(skipped, const.VERDICT_INVALID)
+    accepted = FoldState(record.offset + 1, record.offset, bundle.ok_value)
+    return FoldStep(accepted, const.VERDICT_ACCEPTED)
+
+
+def fold_page(state: FoldState, page: LogPage) -> FoldState:
+    """Fold a page, or look for a checkpoint if records before it expired."""
+    if page.earliest_offset > state.folded_offset:
+        return _adopt_checkpoint(state, page)
+    for record in page.records:
+        state = fold_record(state, record).state
+    return state
+
+
+def next_position(state: FoldState, page: LogPage, position: int) -> int:
+    """Return the offset to read from after a page read at a position.
+
+    While records are missing from the state, all kept records are scanned
+    for a checkpoint; otherwise reading continues where the fold stands.
+    """
+    if state.folded_offset >= page.earliest_offset:
+        return state.folded_offset
+    if page.records:
+        return page.records[-1].offset + 1
+    return max(position, page.earliest_offset)
+
+
+def is_newer(state: FoldState, known: FoldState) -> bool:
+    """Tell whether a state may replace the known one without reverting it."""
+    return (
+        state.folded_offset > known.folded_offset
+        and state.accepted_offset >= known.accepted_offset
+    )
+
+
+def state_from_checkpoint(fields: Any) -> Result[FoldState, Failure]:
+    """Build a state from the value of a checkpoint record."""
+    folded = _field(fields, 'folded')
+    accepted = _field(fields, 'accepted')
+    if not _are_offsets(folded, accepted):
+        detail = 'path=folded expected="an offset above accepted"'
+        return Err(Failure(ErrorKind.CONFIG_INVALID, detail))
+    bundle = Bundle.from_config(_field(fields, 'document'))
+    return bundle.map(lambda checked: FoldState(folded, accepted, checked))
+
+
+def _adopt_checkpoint(state: FoldState, page: LogPage) -> FoldState:
+    for record in page.records:
+        if _field(record.value, 'kind') != const.KIND_CHECKPOINT:
+            continue
+        found = state_from_checkpoint(record.value).unwrap_or(state)
+        usable = found.folded_offset >= page.earliest_offset
+        if usable and is_newer(found, state):
+            return found
+    return state
+
+
+def _are_offsets(folded: Any, accepted: Any) -> bool:
+    if not isinstance(folded, int) or not isinstance(accepted, int):
+        return False
+    return accepted >= 0 and folded > accepted
+
+
+def _field(fields: Any, name: str) -> Any:
+    return fields.get(name) if isinstance(fields, dict) else None
--- a/apricotpin/components/members/__init__.py
+++ b/apricotpin/components/members/__init__.py
@@ -1,12 +1,56 @@
-"""Placeholder of the members component; registers nothing yet."""
+"""Known hosts and their state, by heartbeat, host list and exchange."""
 
 from result import Ok, Result
 
-from apricotpin.core import Kernel
+from apricotpin.components.members import const
+from apricotpin.components.members.farewell import Farewell
+from apricotpin.components.members.host_list import follow_host_list
+from apricotpin.components.members.service import Lanes, MembersService
+from apricotpin.const import SERVICE_MEMBERS
+from apricotpin.core import Kernel, Reply, Started, Stopping
 from apricotpin.errors import Failure
+from apricotpin.messages.admin import GetServiceStatus
+from apricotpin.messages.configuration import ConfigFolded
+from apricotpin.messages.hosts import Heartbeat, SyncHosts
+from apricotpin.messages.members import (
+    HostListRead,
+    HostsTick,
+    MembersTick,
+    PeerAnswered,
+)
+from apricotpin.messages.weights import EngineState
 from apricotpin.settings import Settings
 
 
 def setup(kernel: Kernel, settings: Settings) -> Result[None, Failure]:
-    """Register nothing."""
+    """Register the members service."""
+    lanes = Lanes()
+    farewell = Farewell()
+    service = MembersService(kernel, settings, lanes, farewell)
+
+    def start(_message: Started, _reply: Reply) -> None:
+        source_ip = settings.peer_listen.ip
+        for lane in lanes.heartbeats + lanes.pulls:
+            kernel.spawn(lane.run, kernel, source_ip)
+        kernel.spawn(follow_host_list, kernel, settings.host_list_url)
+        kernel.every(SERVICE_MEMBERS, MembersTick(), const.HEARTBEAT_PERIOD_S)
+        kernel.every(SERVICE_MEMBERS, HostsTick(), const.HOSTS_PERIOD_S)
+
+    kernel.register(
+        SERVICE_MEMBERS,
+        {
+            Started: start,
+            HostListRead: service.take_list,
+            Heartbeat: service.take_heartbeat,
+            SyncHosts: service.give_changes,
+            PeerAnswered: service.take_answer,
+            EngineState: service.take_engine_state,
+            ConfigFolded: service.take_offsets,
+            MembersTick: service.start_round,
+            HostsTick: service.announce,
+            GetServiceStatus: service.report,
+            Stopping: service.leave,
+        },
+        on_stop=lambda: farewell.wait(const.FAREWELL_S),
+    )
     return Ok(None)
--- /dev/null
+++ b/apricotpin/components/members/host_list.py
@@ -0,0 +1,95 @@
+"""Worker that reads the platform's host list."""
+
+import random
+from typing import Any, Final
+
+import gevent
+from loguru import logger
+from result import Err, Ok, Result
+
+from apricotpin.components.members import const
+from apricotpin.const import HOST_LEAVING, HOST_LIVE, SERVICE_MEMBERS
+from apricotpin.core import Kernel
+from apricotpin.errors import ErrorKind, Failure
+from apricotpin.helpers.backoff import jittered_pause
+from apricotpin.helpers.http import HttpAnswer, HttpRequest, exchange
+from apricotpin.helpers.metrics import count_retry
+from apricotpin.messages.hosts import Host
+from apricotpin.messages.members import HostListRead, ListedHost
+
+_HTTP_OK: Final = 200
+
+
+class ReadList:
+    """Hold the hosts of the list and its length in bytes."""
+
+    __slots__ = ('entries', 'size_bytes')
+
+    def __init__(self, entries: list[ListedHost], size_bytes: int) -> None:
+        self.entries = entries
+        self.size_bytes = size_bytes
+
+
+def read_host_list(
+    host_list_url: str,
+    timeout_s: float,
+) -> Result[ReadList, Failure]:
+    """Read the list once; the failure is host_list_unavailable."""
+    request = HttpRequest('GET', f'{host_list_url.rstrip("/")}/hosts')
+    kind = ErrorKind.HOST_LIST_UNAVAILABLE
+    return exchange(request, timeout_s, kind).and_then(_parse)
+
+
+def follow_host_list(kernel: Kernel, host_list_url: str) -> None:
+    """Read the list until killed and hand it to the service."""
+    pause_s = jittered_pause(
+        const.FIRST_PAUSE_S,
+        const.LONGEST_PAUSE_S,
+        random.random,
+    )
+    failures = 0
+    while True:
+        outcome = read_host_list(host_list_url, const.HOST_LIST_TIMEOUT_S)
+        if outcome.is_err():
+            failures += 1
+            count_retry(kernel, outcome.err_value.kind.value)
+            if failures == 1:
+                logger.bind(cause=outcome.err_value).warning('host_list_lost')
+            gevent.sleep(pause_s(failures))
+            continue
+        failures = 0
+        kernel.send(SERVICE_MEMBERS, HostListRead(outcome.ok_value.entries))
+        gevent.sleep(period_s(outcome.ok_value.size_bytes, random.random()))
+
+
+def period_s(size_bytes: int, random_unit: float) -> float:
+    """Return the jittered time in seconds until the list is read again."""
+    affordable_s = size_bytes / const.HOST_LIST_BYTES_PER_S
+    longest_s = max(const.HOST_LIST_PERIOD_S, affordable_s)
+    return longest_s * (1 + const.HOST_LIST_JITTER * (2 * random_unit - 1))
+
+
+def _parse(answer: HttpAnswer) -> Result[ReadList, Failure]:
+    if answer.status != _HTTP_OK:
+        detail = f'the host list answered {answer.status}'
+        return Err(Failure(ErrorKind.HOST_LIST_UNAVAILABLE, detail))
+    try:
+        entries = [_entry(fields) for fields in answer.document()['hosts']]
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        detail = f'the host list is malformed: {error!r}'
+        return Err(Failure(ErrorKind.HOST_LIST_UNAVAILABLE, detail))
+    return Ok(ReadList(entries, len(answer.body)))
+
+
+def _entry(fields: dict[str, Any]) -> ListedHost:
+    host = Host(
+        fields['host_id'],
+        role=fields['role'],
+        region=fields['region'],
+        data_centre=fields['data_centre'],
+        peer_address=fields.get('peer_address') or '',
+        upstream_address=fields.get('upstream_address') or '',
+        service_name=fields.get('service') or '',
+        state=HOST_LIVE,
+    )
+    return ListedHost(host, fields['state'] == HOST_LEAVING)
--- /dev/null
+++ b/apricotpin/components/members/own_host.py
@@ -0,0 +1,60 @@
+"""The record that a process publishes about itself; no I/O."""
+
+from apricotpin import const as names
+from apricotpin.components.members.table import copy_host
+from apricotpin.messages.hosts import Host
+from apricotpin.messages.weights import EngineState
+from apricotpin.settings import Settings
+
+
+def first_record(settings: Settings, incarnation: int) -> Host:
+    """Return the record of a process that has just started.
+
+    incarnation is the start time in milliseconds, so that a restarted
+    process replaces everything known of its predecessor.
+    """
+    return Host(
+        settings.host_id,
+        role=settings.role,
+        region=settings.region,
+        data_centre=settings.data_centre,
+        peer_address=settings.advertise,
+        upstream_address=settings.upstream_address,
+        service_name=settings.service,
+        state=names.HOST_LIVE,
+        incarnation=incarnation,
+    )
+
+
+def with_engine_state(own: Host, engine: EngineState) -> Host:
+    """Return the record with what the engine has confirmed."""
+    state = own.state
+    if state != names.HOST_LEAVING:
+        state = names.HOST_SWITCHING if engine.switching else names.HOST_LIVE
+    return copy_host(
+        own,
+        state=state,
+        model=engine.model,
+        version=engine.version,
+        in_flight=engine.in_flight,
+    )
+
+
+def is_urgent(before: Host, after: Host) -> bool:
+    """Tell whether others should hear of a change before the next beat."""
+    return (before.state, before.version) != (after.state, after.version)
+
+
+def after_hearsay(own: Host, told: Host) -> Host:
+    """Return the record after a peer told what it knows of this process.
+
+    A report that this host leaves is taken over. A newer incarnation means
+    that the clock went back across a restart; this process goes past it,
+    since peers ignore older incarnations.
+    """
+    if told.incarnation > own.incarnation:
+        return copy_host(own, incarnation=told.incarnation + 1)
+    same = told.incarnation == own.incarnation
+    if same and told.state == names.HOST_LEAVING:
+        return copy_host(own, state=names.HOST_LEAVING)
+    return own
--- a/apricotpin/const.py
+++ b/apricotpin/const.py
@@ -26,6 +26,12 @@
 HOST_SWITCHING: Final = 'switching'
 HOST_SUSPECTED: Final = 'suspected'
 HOST_LEAVING: Final = 'leaving'
+HOST_STATES: Final = (
+    HOST_LIVE,
+    HOST_SWITCHING,
+    HOST_SUSPECTED,
+    HOST_LEAVING,
+)
 
 MAILBOX_SIZE: Final = 1024
 CALL_TIMEOUT_S: Final = 5.0
--- a/apricotpin/core.py
+++ b/apricotpin/core.py
@@ -17,6 +17,16 @@
 Handlers = Mapping[type, Handler]
 
 
+class Started:
+    """Tell services that every component of the process is registered.
+
+    A service that publishes messages starts its workers on this, so that no
+    service set up later misses the first ones.
+    """
+
+    __slots__ = ()
+
+
 class Stopping:
     """Tell services that the process is about to stop."""
 
--- a/apricotpin/errors.py
+++ b/apricotpin/errors.py
@@ -35,6 +35,7 @@
     PORT_TAKEN = 'port_taken'
     LOG_UNAVAILABLE = 'log_unavailable'
     LOG_OFFSET_EXPIRED = 'log_offset_expired'
+    HOST_LIST_UNAVAILABLE = 'host_list_unavailable'
     ORIGIN_UNAVAILABLE = 'origin_unavailable'
     ORIGIN_BUSY = 'origin_busy'
     PEER_UNAVAILABLE = 'peer_unavailable'
--- a/apricotpin/helpers/schemas.py
+++ b/apricotpin/helpers/schemas.py
@@ -11,6 +11,8 @@
 from apricotpin.errors import ErrorKind, Failure
 
 _SCHEMAS_PATH: Final = pathlib.Path(__file__).parent.parent / 'schemas'
+# A message stays on one readable line when the value is a large object.
+_VALUE_LENGTH: Final = 120
 
 Check = Callable[[Any], Result[Any, Failure]]
 
@@ -26,7 +28,9 @@
 
     def check(document: Any) -> Result[Any, Failure]:
         try:
-            return Ok(validate(document))
+            # An object that is a default itself gets the defaults of its
+            # fields in the second pass.
+            return Ok(validate(validate(document)))
         except fastjsonschema.JsonSchemaValueException as error:
             return Err(Failure(failure_kind, _describe(error)))
 
@@ -49,4 +53,6 @@
     path = '.'.join(str(part) for part in error.path[1:]) or '.'
     expected = error.message.removeprefix(error.name).strip()
     found = json.dumps(error.value)
+    if len(found) > _VALUE_LENGTH:
+        found = f'{found[:_VALUE_LENGTH]}...'
     return f'path={path} value={found} expected="{expected}"'
--- a/apricotpin/messages/hosts.py
+++ b/apricotpin/messages/hosts.py
@@ -101,9 +101,14 @@
 
 
 class HostChanges:
-    """Return changed host records and the number to ask from next."""
+    """Return changed host records and the number to ask from next.
+
+    The offsets tell which configuration the answering host has in force.
+    """
 
     __slots__ = (
+        'accepted_offset',
+        'folded_offset',
         'hosts',
         'next_since',
         'table_id',
@@ -114,10 +119,14 @@
         next_since: int,
         table_id: int,
         hosts: list[Host],
+        accepted_offset: int = -1,
+        folded_offset: int = 0,
     ) -> None:
         self.next_since = next_since
         self.table_id = table_id
         self.hosts = hosts
+        self.accepted_offset = accepted_offset
+        self.folded_offset = folded_offset
 
 
 class HostsChanged:
--- /dev/null
+++ b/apricotpin/messages/members.py
@@ -0,0 +1,64 @@
+"""Messages of the members service and its workers."""
+
+from typing import Any
+
+from result import Result
+
+from apricotpin.errors import Failure
+from apricotpin.messages.hosts import Host
+
+
+class HostListRead:
+    """Hand over the hosts of the platform's list."""
+
+    __slots__ = ('entries',)
+
+    def __init__(self, entries: list['ListedHost']) -> None:
+        self.entries = entries
+
+
+class ListedHost:
+    """Hold one entry of the platform's host list."""
+
+    __slots__ = ('host', 'leaving')
+
+    def __init__(self, host: Host, leaving: bool) -> None:
+        self.host = host
+        self.leaving = leaving
+
+
+class MembersTick:
+    """Ask for the next heartbeats and pulls."""
+
+    __slots__ = ()
+
+
+class HostsTick:
+    """Ask for overdue hosts to be suspected and changes to be announced."""
+
+    __slots__ = ()
+
+
+class PeerExchange:
+    """Order a lane to call a method of a peer."""
+
+    __slots__ = ('address', 'method', 'request')
+
+    def __init__(self, address: str, method: str, request: Any) -> None:
+        self.address = address
+        self.method = method
+        self.request = request
+
+
+class PeerAnswered:
+    """Report the outcome of an exchange."""
+
+    __slots__ = ('exchange', 'outcome')
+
+    def __init__(
+        self,
+        exchange: PeerExchange,
+        outcome: Result[Any, Failure],
+    ) -> None:
+        self.exchange = exchange
+        self.outcome = outcome
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -36,6 +36,8 @@
   1: i64 next_since
   2: i64 table_id
   3: list<Host> hosts
+  4: i64 accepted_offset
+  5: i64 folded_offset
 }
 
 struct GetConfigState {
