--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -36,6 +36,8 @@
   1: i64 next_since
   2: i64 table_id
   3: list<Host> hosts
+  4: i64 accepted_offset
+  5: i64 folded_offset
 }
 
 struct GetConfigState {
@@ -83,6 +85,7 @@
   3: string key
   4: string request_digest
   5: string host_id
+  6: string attempt_id
 }
 
 struct Outcome {
@@ -91,7 +94,7 @@
   3: binary body
 }
 
-// verdict: granted, running, not_run, done, reused, unavailable, not_owner
+// verdict: one of those in apricotpin/messages/verdicts.py
 struct ClaimAnswer {
   1: string verdict
   2: Outcome outcome
@@ -104,6 +107,7 @@
   3: string key
   4: bool not_run
   5: Outcome outcome
+  6: string attempt_id
 }
 
 struct FindOutcome {
