Write configuration checkpoints and learn from peers

Cause: records expire from the log, the log has outages, and 1,800 agents must not long-poll it. Change: entry hosts append a checkpoint after half of log_retention_s, in rank order, or within seconds when the log's earliest offset shows that the last one expired; a process asks a peer for its state when a heartbeat or a pull names a later accepted offset; an agent reads the log only when no entry host has answered for 3 to 5 s.

--- a/apricotpin/components/configuration/decisions.py
+++ b/apricotpin/components/configuration/decisions.py
@@ -8,6 +8,7 @@
 from apricotpin.components.configuration.bundle import Bundle
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.log_client import LogPage, LogRecord
+from apricotpin.messages.configuration import ConfigState
 
 
 class FoldState:
@@ -65,7 +66,8 @@
 
 def fold_page(state: FoldState, page: LogPage) -> FoldState:
     """Fold a page, or look for a checkpoint if records before it expired."""
-    if page.earliest_offset > state.folded_offset:
+    first = page.records[0].offset if page.records else page.earliest_offset
+    if max(first, page.earliest_offset) > state.folded_offset:
         return _adopt_checkpoint(state, page)
     for record in page.records:
         state = fold_record(state, record).state
@@ -104,6 +106,18 @@
     return bundle.map(lambda checked: FoldState(folded, accepted, checked))
 
 
+def state_from_peer(told: ConfigState) -> Result[FoldState, Failure]:
+    """Build a state from the answer of a peer."""
+    bundle = Bundle.from_text(told.document_json)
+    return bundle.map(
+        lambda checked: FoldState(
+            told.folded_offset,
+            told.accepted_offset,
+            checked,
+        ),
+    )
+
+
 def _adopt_checkpoint(state: FoldState, page: LogPage) -> FoldState:
     for record in page.records:
         if _field(record.value, 'kind') != const.KIND_CHECKPOINT:
--- a/apricotpin/components/configuration/follower.py
+++ b/apricotpin/components/configuration/follower.py
@@ -1,50 +1,85 @@
-"""Worker that reads the configuration stream by long poll."""
+"""Workers of the configuration service that use the network."""
 
 import random
 
 import gevent
+from gevent.queue import Queue
 from loguru import logger
 from result import Result
 
 from apricotpin.components.configuration import const
 from apricotpin.const import SERVICE_CONFIGURATION
 from apricotpin.core import Kernel
-from apricotpin.errors import Failure
+from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.backoff import jittered_pause
 from apricotpin.helpers.log_client import LogClient
 from apricotpin.helpers.metrics import count, count_retry
-from apricotpin.messages.configuration import ConfigLogRead
+from apricotpin.helpers.peer_client import PeerClient
+from apricotpin.messages.configuration import (
+    CheckpointWritten,
+    ConfigLogFailed,
+    ConfigLogRead,
+    GetConfigState,
+    NextConfigRead,
+    PeerStateRead,
+)
 
 
 def follow_log(kernel: Kernel, log_url: str) -> None:
-    """Read the stream until killed and hand each page to the service."""
+    """Read the stream whenever the service orders it, until killed."""
     client = LogClient(log_url, const.LOG_TIMEOUT_S)
     pause_s = jittered_pause(
         const.FIRST_PAUSE_S,
         const.LONGEST_PAUSE_S,
         random.random,
     )
-    position = 0
     failures = 0
     while True:
-        read = _read_once(kernel, client, position)
-        if read.is_ok():
-            position = read.ok_value
+        read = _read_once(kernel, client)
+        if read.is_ok() or read.err_value.kind == ErrorKind.TIMEOUT:
             failures = 0
             continue
         failures += 1
-        count_retry(kernel, read.err_value.kind.value)
-        if failures == 1:
-            logger.bind(cause=read.err_value).warning('log_not_read')
+        _report_failure(kernel, read.err_value, failures)
         gevent.sleep(pause_s(failures))
 
 
-def _read_once(
-    kernel: Kernel,
-    client: LogClient,
-    position: int,
-) -> Result[int, Failure]:
-    """Read one page and return the position after it."""
+def read_peers(kernel: Kernel, addresses: Queue, source_ip: str) -> None:
+    """Ask peers for their state, one after the other, until killed."""
+    client = PeerClient(source_ip)
+    for address in addresses:
+        outcome = client.call(
+            address,
+            'config_state',
+            GetConfigState(),
+            const.PEER_TIMEOUT_S,
+        )
+        if outcome.is_err():
+            count_retry(kernel, outcome.err_value.kind.value)
+        message = PeerStateRead(outcome.unwrap_or(None))
+        kernel.send(SERVICE_CONFIGURATION, message)
+
+
+def write_checkpoint(kernel: Kernel, log_url: str, fields: object) -> None:
+    """Append a checkpoint once; a lost one is written again later."""
+    client = LogClient(log_url, const.LOG_TIMEOUT_S)
+    appended = client.append(const.CONFIG_STREAM, [fields])
+    outcome = 'ok' if appended.is_ok() else 'failed'
+    count(kernel, 'log_appends_total', outcome)
+    logger.bind(outcome=outcome).info('checkpoint_written')
+    kernel.send(SERVICE_CONFIGURATION, CheckpointWritten())
+
+
+def _read_once(kernel: Kernel, client: LogClient) -> Result[None, Failure]:
+    """Wait for an order and read one page."""
+    ordered = kernel.call(
+        SERVICE_CONFIGURATION,
+        NextConfigRead(),
+        const.ORDER_TIMEOUT_S,
+    )
+    if ordered.is_err():
+        return ordered
+    position = ordered.ok_value
     read = client.read(const.CONFIG_STREAM, position, const.LONG_POLL_MS)
     count(kernel, 'log_reads_total')
     if read.is_err():
@@ -53,3 +88,10 @@
     if not page.records:
         gevent.sleep(const.EMPTY_PAUSE_S)
     return kernel.call(SERVICE_CONFIGURATION, ConfigLogRead(position, page))
+
+
+def _report_failure(kernel: Kernel, failure: Failure, failures: int) -> None:
+    count_retry(kernel, failure.kind.value)
+    kernel.send(SERVICE_CONFIGURATION, ConfigLogFailed(failure.detail))
+    if failures == 1:
+        logger.bind(cause=failure).warning('log_not_read')
--- a/apricotpin/messages/configuration.py
+++ b/apricotpin/messages/configuration.py
@@ -33,8 +33,14 @@
         self.document_json = document_json
 
 
+class NextConfigRead:
+    """Ask for the offset to read from; answered when a read is due."""
+
+    __slots__ = ()
+
+
 class ConfigLogRead:
-    """Hand over a page of the stream; answered with the next position."""
+    """Hand over a page of the configuration stream."""
 
     __slots__ = ('page', 'position')
 
@@ -43,6 +49,36 @@
         self.page = page
 
 
+class ConfigLogFailed:
+    """Report that the configuration stream could not be read."""
+
+    __slots__ = ('detail',)
+
+    def __init__(self, detail: str) -> None:
+        self.detail = detail
+
+
+class ConfigTick:
+    """Ask for overdue reads and checkpoints."""
+
+    __slots__ = ()
+
+
+class CheckpointWritten:
+    """Report that the append of a checkpoint ended, in whichever way."""
+
+    __slots__ = ()
+
+
+class PeerStateRead:
+    """Hand over the state of a peer, or None if it did not answer."""
+
+    __slots__ = ('state',)
+
+    def __init__(self, state: ConfigState | None) -> None:
+        self.state = state
+
+
 class ConfigOffsetsSeen:
     """Report which configuration a peer had in force when it answered."""
 
--- a/apricotpin/settings.py
+++ b/apricotpin/settings.py
@@ -35,6 +35,7 @@
         'host_id',
         'host_list_url',
         'log_level',
+        'log_retention_s',
         'log_url',
         'origin_urls',
         'peer_listen',
@@ -61,6 +62,7 @@
         self.admin_listen = Address.from_text(checked['admin_listen'])
         self.frontend_listen: str = checked.get('frontend_listen', '')
         self.log_url: str = checked['log_url']
+        self.log_retention_s: float = checked['log_retention_s']
         self.host_list_url: str = checked['host_list_url']
         self.origin_urls: list[str] = checked['origin_urls']
         self.engine_url: str = checked.get('engine_url', '')
