--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -82,6 +82,7 @@
   3: string key
   4: string request_digest
   5: string host_id
+  6: string attempt_id
 }
 
 struct Outcome {
@@ -90,7 +91,7 @@
   3: binary body
 }
 
-// verdict: granted, running, not_run, done, reused, unavailable, not_owner
+// verdict: one of those in apricotpin/messages/verdicts.py
 struct ClaimAnswer {
   1: string verdict
   2: Outcome outcome
@@ -103,6 +104,7 @@
   3: string key
   4: bool not_run
   5: Outcome outcome
+  6: string attempt_id
 }
 
 struct FindOutcome {
