--- a/apricotpin/cli.py
+++ b/apricotpin/cli.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from apricotpin.commands import processes
+from apricotpin.commands import config, processes, rollout
 from apricotpin.const import PROGRAM, VERSION
 
 ShowVersion = Annotated[
@@ -17,10 +17,14 @@
     no_args_is_help=True,
     add_completion=False,
     pretty_exceptions_enable=False,
+    # Errors stay on one line, as scripts expect.
+    rich_markup_mode=None,
     help='Distribute model weights in bursts while requests keep flowing.',
 )
 app.command('entry')(processes.entry)
 app.command('agent')(processes.agent)
+app.add_typer(config.app, name='config')
+app.add_typer(rollout.app, name='rollout')
 
 
 @app.callback(invoke_without_command=True)
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -36,6 +36,8 @@
   1: i64 next_since
   2: i64 table_id
   3: list<Host> hosts
+  4: i64 accepted_offset
+  5: i64 folded_offset
 }
 
 struct GetConfigState {
@@ -47,13 +49,16 @@
   3: string document_json
 }
 
+// index -1 asks for the manifest; host_id is the host that asks
 struct FetchChunk {
   1: string model
   2: string version
   3: i32 index
   4: i32 wait_ms
+  5: string host_id
 }
 
+// status: ok, not_yet, blocked, busy, unknown_version
 struct ChunkAnswer {
   1: string status
   2: binary data
@@ -80,6 +85,7 @@
   3: string key
   4: string request_digest
   5: string host_id
+  6: string attempt_id
 }
 
 struct Outcome {
@@ -88,7 +94,7 @@
   3: binary body
 }
 
-// verdict: granted, running, not_run, done, reused, unavailable, not_owner
+// verdict: one of those in apricotpin/messages/verdicts.py
 struct ClaimAnswer {
   1: string verdict
   2: Outcome outcome
@@ -101,6 +107,7 @@
   3: string key
   4: bool not_run
   5: Outcome outcome
+  6: string attempt_id
 }
 
 struct FindOutcome {
