--- /dev/null
+++ b/tests/naive/config_world.py
@@ -0,0 +1,148 @@
+"""Simulated log, processes and operators for the configuration's decisions.
+
+Time is simulated in milliseconds. A process polls, pauses with a page in
+hand, restarts without any state, and asks neighbours during outages.
+"""
+
+import copy
+
+from apricotpin.components.configuration.checkpoints import checkpoint_fields
+from apricotpin.components.configuration.decisions import (
+    FoldState,
+    fold_page,
+    is_newer,
+    state_from_peer,
+)
+from apricotpin.components.configuration.log_use import (
+    LogUse,
+    checkpoint_is_due,
+    note_hosts,
+    note_read,
+)
+from apricotpin.helpers.log_client import LogPage, LogRecord
+from apricotpin.messages.configuration import ConfigState
+from apricotpin.messages.hosts import Host
+from tests.naive.configuration import NaiveConfiguration
+
+RETENTION_S = 60
+STEP_MS = 1000
+PAGE_RECORDS = 3
+_DIGEST = '0' * 64
+
+
+def document(name):
+    """Return a small valid base document."""
+    return {
+        'fleet': name,
+        'services': {'advice': {'kind': 'model', 'model': 'canoe'}},
+        'models': {'canoe': {'version': name, 'manifest_digest': _DIGEST}},
+    }
+
+
+class SimulatedLog:
+    """Keep records for RETENTION_S and refuse everything in an outage."""
+
+    def __init__(self):
+        self.naive = NaiveConfiguration()
+        self.times_ms = []
+        self.now_ms = 1000000
+        self.outage = False
+
+    def append(self, value):
+        """Append a record; return its offset, or None in an outage."""
+        if self.outage:
+            return None
+        self.times_ms.append(self.now_ms)
+        return self.naive.append(value)
+
+    def earliest(self):
+        """Return the offset of the earliest record kept."""
+        oldest_ms = self.now_ms - RETENTION_S * 1000
+        expired = [time for time in self.times_ms if time < oldest_ms]
+        return len(expired)
+
+    def page(self, position):
+        """Return a page from a position, or None in an outage."""
+        if self.outage:
+            return None
+        first = max(position, self.earliest())
+        offsets = range(first, len(self.naive.values))[:PAGE_RECORDS]
+        records = [
+            LogRecord(
+                offset,
+                self.times_ms[offset],
+                copy.deepcopy(self.naive.values[offset]),
+            )
+            for offset in offsets
+        ]
+        return LogPage(records, self.earliest(), len(self.naive.values))
+
+
+class SimulatedProcess:
+    """Run the decisions of one entry host."""
+
+    def __init__(self, name, names):
+        self.name = name
+        self.names = names
+        self.restart()
+
+    def restart(self):
+        """Lose everything."""
+        self.state = FoldState()
+        self.log = LogUse('entry', RETENTION_S, 0)
+        hosts = [Host(each, 'entry', state='live') for each in self.names]
+        note_hosts(self.log, self.name, hosts)
+        self.held = None
+        self.told = None
+        self.highest = -1
+        self.cut_off = False
+
+    def poll(self, log):
+        """Read one page, or note that the log is away."""
+        position = self.log.position
+        page = None if self.cut_off else log.page(position)
+        if page is None:
+            self.log.failure = 'outage'
+            return
+        self.take(page, position, log.now_ms)
+
+    def take(self, page, position, now_ms):
+        """Fold a page as the service does."""
+        self.state = fold_page(self.state, page)
+        note_read(self.log, self.state, page, position, now_ms)
+
+    def hold(self, log):
+        """Read a page and pause before folding it."""
+        self.held = (log.page(self.log.position), self.log.position)
+
+    def resume(self, now_ms):
+        """Fold the page that was read before the pause."""
+        page, position = self.held
+        self.held = None
+        if page is not None:
+            self.take(page, position, now_ms)
+
+    def ask(self, other):
+        """Ask a neighbour whose answer may arrive late."""
+        if other.state.accepted_offset > self.state.accepted_offset:
+            self.told = ConfigState(
+                other.state.folded_offset,
+                other.state.accepted_offset,
+                other.state.bundle.as_text(),
+            )
+
+    def hear(self):
+        """Take over a neighbour's answer unless it is a step back."""
+        if self.told is None:
+            return
+        state = state_from_peer(self.told).unwrap()
+        self.told = None
+        if is_newer(state, self.state):
+            self.log.position = state.folded_offset
+            self.state = state
+
+    def tick(self, log):
+        """Write a checkpoint if it is due."""
+        if checkpoint_is_due(self.log, self.state, log.now_ms):
+            self.log.write_from_ms = log.now_ms + 5000
+            log.append(checkpoint_fields(self.state))
