--- a/apricotpin/bootstrap.py
+++ b/apricotpin/bootstrap.py
@@ -1,10 +1,9 @@
 """Set up the components of a role in the order of their dependencies."""
 
 import graphlib
-import importlib
 import json
-import pathlib
 import types
+from importlib import import_module, resources
 from typing import Any, Final
 
 import gevent
@@ -13,13 +12,11 @@
 from result import Err, Ok, Result
 
 from apricotpin import const
-from apricotpin.core import Kernel
+from apricotpin.core import Kernel, Started
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.logs import configure_logs
 from apricotpin.settings import Settings
 
-_COMPONENTS_PATH: Final = pathlib.Path(__file__).parent / 'components'
-
 ROLE_COMPONENTS: Final = types.MappingProxyType(
     {
         const.ROLE_ENTRY: (
@@ -70,6 +67,7 @@
             detail = f'component={name} {failure.detail}'
             return Err(Failure(failure.kind, detail))
         gevent.sleep(0)
+    kernel.publish(Started())
     return Ok(None)
 
 
@@ -88,8 +86,8 @@
 
 def read_manifest(name: str) -> dict[str, Any]:
     """Return the manifest of a component."""
-    path = _COMPONENTS_PATH / name / 'manifest.json'
-    return json.loads(path.read_text())
+    component = resources.files(f'apricotpin.components.{name}')
+    return json.loads(component.joinpath('manifest.json').read_text())
 
 
 def _set_up_component(
@@ -98,7 +96,7 @@
     settings: Settings,
 ) -> Result[None, Failure]:
     try:
-        component = importlib.import_module(f'apricotpin.components.{name}')
+        component = import_module(f'apricotpin.components.{name}')
     except ImportError as error:
         return Err(Failure(ErrorKind.INTERNAL, repr(error)))
     return component.setup(kernel, settings)
--- a/apricotpin/const.py
+++ b/apricotpin/const.py
@@ -26,6 +26,12 @@
 HOST_SWITCHING: Final = 'switching'
 HOST_SUSPECTED: Final = 'suspected'
 HOST_LEAVING: Final = 'leaving'
+HOST_STATES: Final = (
+    HOST_LIVE,
+    HOST_SWITCHING,
+    HOST_SUSPECTED,
+    HOST_LEAVING,
+)
 
 # Kinds of a service in the configuration document.
 KIND_MODEL: Final = 'model'
--- /dev/null
+++ b/script/standins/__main__.py
@@ -0,0 +1,106 @@
+"""Run one stand-in: python -m script.standins NAME --listen ip:port."""
+
+from script import patched  # noqa: F401, I001 (must come first)
+
+import pathlib
+from typing import Annotated
+
+import typer
+
+from script.standins import (
+    engine,
+    engine_state,
+    host_list,
+    links,
+    log,
+    origin,
+    plain,
+)
+from script.standins.contents import Weights, manifest_of
+
+Listen = Annotated[str, typer.Option('--listen', help='ip:port.')]
+
+app = typer.Typer(
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+    help='Stand-ins for the platform, one process each.',
+)
+
+
+@app.command('log')
+def run_log(
+    listen: Listen,
+    appends_per_s: float = 300,
+    retention_s: float = 7200,
+) -> None:
+    """Serve the append-only log."""
+    log.run(listen, appends_per_s, retention_s)
+
+
+@app.command('host-list')
+def run_host_list(
+    listen: Listen,
+    hosts: pathlib.Path | None = None,
+    lag_s: float = 2,
+) -> None:
+    """Serve the list of hosts; changes show after lag_s."""
+    host_list.run(listen, hosts, lag_s)
+
+
+@app.command('origin')
+def run_origin(
+    listen: Listen,
+    weights: list[str],
+    bytes_per_s: float = 0,
+    requests_per_s: float = 0,
+) -> None:
+    """Serve WEIGHTS, each model/version:size_bytes:chunk_bytes."""
+    versions = [Weights.from_text(text) for text in weights]
+    origin.run(listen, versions, bytes_per_s, requests_per_s)
+
+
+@app.command('engine')
+def run_engine(
+    listen: Listen,
+    token_s: float = 0.02,
+    in_flight_max: int = 16,
+    queue_max: int = 64,
+    checks_fencing: bool = True,
+    serves: str = '',
+) -> None:
+    """Serve a model engine.
+
+    SERVES is a version that it holds from the start, in the origin's form.
+    """
+    limits = engine_state.EngineLimits(in_flight_max, queue_max, checks_fencing)
+    active = None
+    if serves:
+        weights = Weights.from_text(serves)
+        manifest = manifest_of(weights)
+        active = engine_state.StoreVersion(
+            weights.model, weights.version, manifest['digest'], 0, 0
+        )
+    service = engine_state.EngineService(limits, active)
+    engine.run(listen, service, token_s)
+
+
+@app.command('plain')
+def run_plain(
+    listen: Listen,
+    service: str = 'plain',
+    work_s: float = 0.01,
+    echo: bool = True,
+) -> None:
+    """Serve a plain service."""
+    plain.run(listen, service, work_s, echo)
+
+
+@app.command('links')
+def run_links(listen: Listen, plan: pathlib.Path) -> None:
+    """Relay between hosts over the paced links of PLAN, a JSON file."""
+    links.run(listen, plan)
+
+
+if __name__ == '__main__':
+    app()
