--- a/script/cluster.py
+++ b/script/cluster.py
@@ -55,8 +55,8 @@
     def __enter__(self) -> 'Cluster':
         return self
 
-    def __exit__(self, *_error: object) -> None:
-        self.group.stop()
+    def __exit__(self, *error: object) -> None:
+        self.group.__exit__(*error)
         if self._temporary is not None:
             self._temporary.cleanup()
 
--- a/script/load.py
+++ b/script/load.py
@@ -230,14 +230,21 @@
             gevent.sleep(random.expovariate(1 / self._plan.pause_s))
 
 
-def perform(call: calls.Call, entry: str) -> Finished:
-    """Send a call on a new connection and judge its answer."""
+def perform(
+    call: calls.Call,
+    entry: str,
+    silent_s: float = _ANSWER_TIMEOUT_S,
+) -> Finished:
+    """Send a call on a new connection and judge its answer.
+
+    An answer of which nothing arrives for silent_s counts as lost.
+    """
     address = Address.from_text(entry)
     client = HTTPClient(
         address.ip,
         address.port,
         connection_timeout=_CONNECT_TIMEOUT_S,
-        network_timeout=_ANSWER_TIMEOUT_S,
+        network_timeout=silent_s,
     )
     sent_s = time.monotonic()
     arrived_s: list[float] = []
@@ -284,7 +291,7 @@
 
 def _lines(response: Any) -> Iterator[bytes]:
     if response.get('content-type', '').startswith('text/event-stream'):
-        while line := bytes(response.readline()):
+        while line := bytes(response.readline(b'\n')):
             yield line
     else:
         yield bytes(response.read())
--- a/script/processes.py
+++ b/script/processes.py
@@ -115,8 +115,10 @@
     def __enter__(self) -> 'ProcessGroup':
         return self
 
-    def __exit__(self, *_error: object) -> None:
+    def __exit__(self, error_type: object, *_error: object) -> None:
         self.stop()
+        if error_type is not None:
+            self.print_logs()
 
     def start(self, name: str, arguments: Sequence[str]) -> Process:
         """Start a process: the arguments follow python -m."""
@@ -136,6 +138,13 @@
             stopping.wait(max(0, deadline_s - time.monotonic()))
             stopping.kill()
 
+    def print_logs(self) -> None:
+        """Print the end of each log to standard error."""
+        for process in self.processes.values():
+            tail = process.log_tail()
+            if tail:
+                sys.stderr.write(f'== end of {process.name}.log ==\n{tail}\n')
+
     def check_running(self) -> None:
         """Raise RuntimeError with the log of a process that has ended."""
         for process in self.processes.values():
--- a/script/standins/__main__.py
+++ b/script/standins/__main__.py
@@ -7,6 +7,7 @@
 
 import typer
 
+from apricotpin.core import Kernel
 from script.standins import (
     engine,
     engine_state,
@@ -17,6 +18,7 @@
     plain,
 )
 from script.standins.contents import Weights, manifest_of
+from script.standins.web import serve
 
 Listen = Annotated[str, typer.Option('--listen', help='ip:port.')]
 
@@ -35,7 +37,8 @@
     retention_s: float = 7200,
 ) -> None:
     """Serve the append-only log."""
-    log.run(listen, appends_per_s, retention_s)
+    kernel = Kernel('log')
+    serve(kernel, listen, log.set_up(kernel, appends_per_s, retention_s))
 
 
 @app.command('host-list')
@@ -45,7 +48,8 @@
     lag_s: float = 2,
 ) -> None:
     """Serve the list of hosts; changes show after lag_s."""
-    host_list.run(listen, hosts, lag_s)
+    kernel = Kernel('host_list')
+    serve(kernel, listen, host_list.set_up(kernel, hosts, lag_s))
 
 
 @app.command('origin')
@@ -57,7 +61,12 @@
 ) -> None:
     """Serve WEIGHTS, each model/version:size_bytes:chunk_bytes."""
     versions = [Weights.from_text(text) for text in weights]
-    origin.run(listen, versions, bytes_per_s, requests_per_s)
+    kernel = Kernel('origin')
+    serve(
+        kernel,
+        listen,
+        origin.set_up(kernel, versions, bytes_per_s, requests_per_s),
+    )
 
 
 @app.command('engine')
@@ -82,7 +91,8 @@
             weights.model, weights.version, manifest['digest'], 0, 0
         )
     service = engine_state.EngineService(limits, active)
-    engine.run(listen, service, token_s)
+    kernel = Kernel('engine')
+    serve(kernel, listen, engine.set_up(kernel, service, token_s))
 
 
 @app.command('plain')
@@ -93,13 +103,15 @@
     echo: bool = True,
 ) -> None:
     """Serve a plain service."""
-    plain.run(listen, service, work_s, echo)
+    kernel = Kernel('plain')
+    serve(kernel, listen, plain.set_up(kernel, service, work_s, echo))
 
 
 @app.command('links')
 def run_links(listen: Listen, plan: pathlib.Path) -> None:
     """Relay between hosts over the paced links of PLAN, a JSON file."""
-    links.run(listen, plan)
+    kernel = Kernel('links')
+    serve(kernel, listen, links.set_up(kernel, plan))
 
 
 if __name__ == '__main__':
--- a/script/standins/engine.py
+++ b/script/standins/engine.py
@@ -26,7 +26,7 @@
     register_faults,
 )
 from script.standins.generation import make_generate_page
-from script.standins.web import Answer, Request, ask, serve
+from script.standins.web import Answer, Request, Route, ask
 
 _SWITCHES: Final = {
     **ANSWER_SWITCHES,
@@ -37,9 +37,15 @@
 }
 
 
-def run(listen: str, service: EngineService, token_s: float) -> None:
-    """Serve until a signal; tokens of a stream are token_s seconds apart."""
-    kernel = Kernel(ENGINE)
+def set_up(
+    kernel: Kernel,
+    service: EngineService,
+    token_s: float,
+) -> list[Route]:
+    """Start the engine and return its routes.
+
+    Tokens of a stream are token_s seconds apart.
+    """
     routes = register_faults(kernel, _SWITCHES)
     kernel.register(
         ENGINE,
@@ -52,14 +58,14 @@
             GetCounters: service.counters,
         },
     )
-    routes += [
+    return [
+        *routes,
         ('GET', '/status', _report_page(kernel, GetStatus())),
         ('GET', '/counters', _report_page(kernel, GetCounters())),
         ('PUT', '/models/([^/]+)/versions/([^/]+)', _version_page(kernel)),
         ('POST', '/models/([^/]+)/active', _active_page(kernel)),
         ('POST', '/generate', make_generate_page(kernel, token_s)),
     ]
-    serve(kernel, listen, routes)
 
 
 def _report_page(kernel: Kernel, message: Any) -> Callable[..., Answer]:
--- a/script/standins/host_list.py
+++ b/script/standins/host_list.py
@@ -9,7 +9,7 @@
 
 from apricotpin.core import Kernel, Reply
 from script.standins.faults import current_faults, register_faults
-from script.standins.web import Answer, Request, ask, serve
+from script.standins.web import Answer, Request, Route, ask
 
 HOST_LIST: Final = 'host_list'
 _SWITCHES: Final = types.MappingProxyType({'outage': False, 'delay_s': 0})
@@ -82,9 +82,12 @@
         self._kernel.send(HOST_LIST, ShowChange(change))
 
 
-def run(listen: str, hosts_path: pathlib.Path | None, lag_s: float) -> None:
-    """Serve the host list until a signal; changes show after lag_s."""
-    kernel = Kernel(HOST_LIST)
+def set_up(
+    kernel: Kernel,
+    hosts_path: pathlib.Path | None,
+    lag_s: float,
+) -> list[Route]:
+    """Start the host list and return its routes; changes show after lag_s."""
     routes = register_faults(kernel, _SWITCHES)
     hosts = json.loads(hosts_path.read_text())['hosts'] if hosts_path else []
     service = HostListService(kernel, hosts, lag_s)
@@ -113,9 +116,9 @@
         ask(kernel, HOST_LIST, RemoveHost(host_id))
         return Answer.with_json({})
 
-    routes += [
+    return [
+        *routes,
         ('GET', '/hosts', get_page),
         ('PUT', '/hosts/([^/]+)', put_page),
         ('DELETE', '/hosts/([^/]+)', remove_page),
     ]
-    serve(kernel, listen, routes)
--- a/script/standins/links.py
+++ b/script/standins/links.py
@@ -19,7 +19,7 @@
 from apricotpin.helpers.addresses import Address
 from apricotpin.helpers.listeners import open_listener
 from script.standins import link_state as state
-from script.standins.web import Answer, Request, Route, ask, serve
+from script.standins.web import Answer, Request, Route, ask
 
 # Bytes read at once; at 1 MB/s a part holds a link for 16 ms.
 _PART_BYTES: Final = 16384
@@ -44,12 +44,20 @@
         self.sender: str = fields.get('sender', '')
 
 
-def run(listen: str, plan_path: pathlib.Path) -> None:
-    """Relay until a signal; the plan names hosts, ports and rates."""
+def set_up(kernel: Kernel, plan_path: pathlib.Path) -> list[Route]:
+    """Start to relay and return the routes; the plan names hosts and rates."""
     fields = json.loads(plan_path.read_text())
     plan = state.LinkPlan(fields)
-    kernel = Kernel(state.LINKS)
     service = state.LinkService(plan, gevent.get_hub().loop.now)
+    senders = {host.ip: host.host_id for host in plan.hosts.values()}
+    servers = [
+        _open_port(kernel, Port(port), senders) for port in fields['ports']
+    ]
+
+    def close_ports() -> None:
+        for server in servers:
+            server.close()
+
     kernel.register(
         state.LINKS,
         {
@@ -61,11 +69,9 @@
             state.GetCounters: service.report,
         },
         mailbox_size=_MAILBOX_SIZE,
+        on_stop=close_ports,
     )
-    senders = {host.ip: host.host_id for host in plan.hosts.values()}
-    for port_fields in fields['ports']:
-        _open_port(kernel, Port(port_fields), senders)
-    serve(kernel, listen, _pages(kernel))
+    return _pages(kernel)
 
 
 def _pages(kernel: Kernel) -> list[Route]:
@@ -88,7 +94,11 @@
     ]
 
 
-def _open_port(kernel: Kernel, port: Port, senders: Mapping[str, str]) -> None:
+def _open_port(
+    kernel: Kernel,
+    port: Port,
+    senders: Mapping[str, str],
+) -> StreamServer:
     listener = open_listener(Address.from_text(port.listen)).unwrap()
     listener.setsockopt(net.SOL_SOCKET, net.SO_RCVBUF, _BUFFER_BYTES)
 
@@ -108,7 +118,9 @@
             cleanup.enter_context(contextlib.suppress(OSError))
             _relay(kernel, incoming, connect, port.target)
 
-    StreamServer(listener, handle).start()
+    server = StreamServer(listener, handle)
+    server.start()
+    return server
 
 
 def _relay(
--- a/script/standins/log.py
+++ b/script/standins/log.py
@@ -17,7 +17,7 @@
     register_faults,
 )
 from script.standins.pacing import Bucket
-from script.standins.web import Answer, Request, ask, serve
+from script.standins.web import Answer, Request, Route, ask
 
 LOG: Final = 'log'
 _MS_PER_S: Final = 1000
@@ -199,9 +199,12 @@
         return self._streams.setdefault(name, Stream())
 
 
-def run(listen: str, appends_per_s: float, retention_s: float) -> None:
-    """Serve the log until a signal; rates are in appends/s."""
-    kernel = Kernel(LOG)
+def set_up(
+    kernel: Kernel,
+    appends_per_s: float,
+    retention_s: float,
+) -> list[Route]:
+    """Start the log and return its routes; rates are in appends/s."""
     routes = register_faults(kernel, _SWITCHES)
     service = LogService(appends_per_s, retention_s)
     kernel.register(
@@ -219,12 +222,12 @@
     def counters_page(_request: Request) -> Answer:
         return Answer.with_json(ask(kernel, LOG, GetCounters()))
 
-    routes += [
+    return [
+        *routes,
         ('POST', _STREAM, _append_page(kernel)),
         ('GET', _STREAM, _read_page(kernel)),
         ('GET', '/counters', counters_page),
     ]
-    serve(kernel, listen, routes)
 
 
 def _append_page(kernel: Kernel) -> Any:
--- a/script/standins/origin.py
+++ b/script/standins/origin.py
@@ -17,7 +17,7 @@
     register_faults,
 )
 from script.standins.pacing import Bucket
-from script.standins.web import Answer, Request, ask, serve
+from script.standins.web import Answer, Request, Route, ask
 
 ORIGIN: Final = 'origin'
 _BURST_S: Final = 0.25
@@ -135,14 +135,13 @@
         )
 
 
-def run(
-    listen: str,
+def set_up(
+    kernel: Kernel,
     versions: list[Weights],
     bytes_per_s: float,
     requests_per_s: float,
-) -> None:
-    """Serve weights until a signal; a rate of 0 means no limit."""
-    kernel = Kernel(ORIGIN)
+) -> list[Route]:
+    """Start the origin and return its routes; a rate of 0 means no limit."""
     routes = register_faults(kernel, _SWITCHES)
     service = OriginService(versions, bytes_per_s, requests_per_s)
     kernel.register(
@@ -159,12 +158,12 @@
         return Answer.with_json(ask(kernel, ORIGIN, GetCounters()))
 
     version = '/weights/([^/]+/[^/]+)'
-    routes += [
+    return [
+        *routes,
         ('GET', f'{version}/manifest', _manifest_page(kernel)),
         ('GET', f'{version}/chunks/([0-9]+)', _chunk_page(kernel)),
         ('GET', '/counters', counters_page),
     ]
-    serve(kernel, listen, routes)
 
 
 def _manifest_page(kernel: Kernel) -> Any:
--- a/script/standins/pacing.py
+++ b/script/standins/pacing.py
@@ -26,8 +26,10 @@
         """Commit one unit if the bucket holds it, else leave it unchanged."""
         if not self.per_s:
             return True
-        start_s = max(self._free_s, now_s - self._burst_s)
-        if start_s + 1 / self.per_s > now_s:
+        unit_s = 1 / self.per_s
+        # An idle bucket holds at least one unit, however low the rate is.
+        start_s = max(self._free_s, now_s - max(self._burst_s, unit_s))
+        if start_s + unit_s > now_s:
             return False
-        self._free_s = start_s + 1 / self.per_s
+        self._free_s = start_s + unit_s
         return True
--- a/script/standins/plain.py
+++ b/script/standins/plain.py
@@ -18,7 +18,7 @@
     register_faults,
     take_fault,
 )
-from script.standins.web import Answer, Request, ask, serve
+from script.standins.web import Answer, Request, Route, ask
 
 PLAIN: Final = 'plain'
 _HALF: Final = 2
@@ -79,9 +79,13 @@
         )
 
 
-def run(listen: str, service_name: str, work_s: float, echo: bool) -> None:
-    """Serve until a signal; each request takes work_s seconds."""
-    kernel = Kernel(PLAIN)
+def set_up(
+    kernel: Kernel,
+    service_name: str,
+    work_s: float,
+    echo: bool,
+) -> list[Route]:
+    """Start the service and return its routes; a request takes work_s."""
     routes = register_faults(kernel, ANSWER_SWITCHES)
     service = PlainService()
     kernel.register(
@@ -96,11 +100,11 @@
     def executions_page(_request: Request) -> Answer:
         return Answer.with_json(ask(kernel, PLAIN, GetExecutions()))
 
-    routes += [
+    return [
+        *routes,
         ('GET', '/executions', executions_page),
         ('*', '/.*', _any_page(kernel, service_name, work_s, echo)),
     ]
-    serve(kernel, listen, routes)
 
 
 def _any_page(
--- a/script/standins/web.py
+++ b/script/standins/web.py
@@ -8,7 +8,7 @@
 import sys
 from collections.abc import Callable, Iterable, Sequence
 from http import HTTPStatus
-from socket import SO_LINGER, SOL_SOCKET
+from socket import IPPROTO_TCP, SO_LINGER, SOL_SOCKET, TCP_NODELAY
 from typing import Any, Final
 from urllib.parse import parse_qsl
 
@@ -169,6 +169,8 @@
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
+        # Without this, each part of a stream waits for a delayed ACK (40 ms).
+        self.socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
         self.opened_s = gevent.get_hub().loop.now()
 
     def get_environ(self) -> dict[str, Any]:
