--- a/apricotpin/components/engine/service.py
+++ b/apricotpin/components/engine/service.py
@@ -93,6 +93,7 @@
         wanted = Wanted(message.manifest, message.fencing_number)
         expect_version(self._engine, wanted)
         reply.ok()
+        self._ask_for_chunks()
         self._advance()
 
     def take_version(self, message: VersionComplete, reply: Reply) -> None:
@@ -124,12 +125,7 @@
         )
         if label is not None:
             self._note_order(label, '')
-        if self._engine.lacks_chunks:
-            manifest = self._engine.wanted.manifest
-            self._kernel.send(
-                SERVICE_WEIGHTS,
-                ChunksNeeded(manifest.model, manifest.version),
-            )
+        self._ask_for_chunks()
         self._advance()
 
     def note_step(self, message: StepDone, reply: Reply) -> None:
@@ -171,6 +167,13 @@
             self._kernel.spawn(self._order, step, self._engine.wanted)
         self._announce()
 
+    def _ask_for_chunks(self) -> None:
+        if not self._engine.lacks_chunks:
+            return
+        manifest = self._engine.wanted.manifest
+        needed = ChunksNeeded(manifest.model, manifest.version)
+        self._kernel.send(SERVICE_WEIGHTS, needed)
+
     def _gate_is_open(self) -> bool:
         manifest = self._engine.wanted.manifest
         own_host = Host(
--- a/apricotpin/components/weights/fetcher.py
+++ b/apricotpin/components/weights/fetcher.py
@@ -61,7 +61,7 @@
             answered = self._call(order)
         if answered.is_err():
             self._address = ''
-        return answered.and_then(_content_of)
+        return answered.and_then(content_of)
 
     def close(self) -> None:
         """Close the connection."""
@@ -112,7 +112,7 @@
     return True
 
 
-def _content_of(answer: ChunkAnswer) -> Result[bytes, Failure]:
+def content_of(answer: ChunkAnswer) -> Result[bytes, Failure]:
     if answer.status == const.STATUS_OK:
         return Ok(answer.data)
     kind = _STATUS_KINDS.get(answer.status, ErrorKind.PEER_UNAVAILABLE)
