--- a/apricotpin/components/engine/service.py
+++ b/apricotpin/components/engine/service.py
@@ -93,7 +93,7 @@
         wanted = Wanted(message.manifest, message.fencing_number)
         expect_version(self._engine, wanted)
         reply.ok()
-        self._ask_for_chunks()
+        ask_for_chunks(self._kernel, self._engine)
         self._advance()
 
     def take_version(self, message: VersionComplete, reply: Reply) -> None:
@@ -125,7 +125,7 @@
         )
         if label is not None:
             self._note_order(label, '')
-        self._ask_for_chunks()
+        ask_for_chunks(self._kernel, self._engine)
         self._advance()
 
     def note_step(self, message: StepDone, reply: Reply) -> None:
@@ -167,13 +167,6 @@
             self._kernel.spawn(self._order, step, self._engine.wanted)
         self._announce()
 
-    def _ask_for_chunks(self) -> None:
-        if not self._engine.lacks_chunks:
-            return
-        manifest = self._engine.wanted.manifest
-        needed = ChunksNeeded(manifest.model, manifest.version)
-        self._kernel.send(SERVICE_WEIGHTS, needed)
-
     def _gate_is_open(self) -> bool:
         manifest = self._engine.wanted.manifest
         own_host = Host(
@@ -225,3 +218,11 @@
             reason = ErrorKind.ENGINE_UNAVAILABLE.value
         health = Health(SERVICE_ENGINE, not reason, reason)
         self._kernel.send(SERVICE_ADMIN, health)
+
+
+def ask_for_chunks(kernel: Kernel, engine: Engine) -> None:
+    """Tell the weights service which version the engine lacks, if any."""
+    if engine.lacks_chunks:
+        manifest = engine.wanted.manifest
+        needed = ChunksNeeded(manifest.model, manifest.version)
+        kernel.send(SERVICE_WEIGHTS, needed)
