Test the processes and plans of the cluster harness

Cause: a process left behind or a fault that was not injected would make other tests fail or pass for nothing. Change: scenario outlines for kill, pause, resume and restart, for the end of a group on a return and on an error, and for the settings and addresses of plans.

--- /dev/null
+++ b/tests/steps/standins_cluster_steps.py
@@ -0,0 +1,110 @@
+"""Steps for the processes and plans of a test cluster."""
+
+import os
+import pathlib
+import tempfile
+
+import psutil
+from behave import given, then, when
+
+from apricotpin.settings import Settings
+from script import topology as plans
+from script.cluster import STANDINS
+from script.processes import ProcessGroup, answers_ok, wait_until
+
+READY_S = 20
+PORT = 20050
+
+
+class InjectedError(Exception):
+    """Stand for any error inside a cluster's block."""
+
+
+@given('cluster process that serves a host list')
+def start_process(context):
+    """Start one process in a group."""
+    directory = tempfile.TemporaryDirectory()
+    pid = os.getpid() % 65024
+    listen = f'127.29.{pid // 254}.{pid % 254 + 1}:{PORT}'
+    context.group = ProcessGroup(pathlib.Path(directory.name))
+    context.cleanups = [directory.cleanup, context.group.stop]
+    context.process = context.group.start(
+        'host-list',
+        [STANDINS, 'host-list', f'--listen={listen}'],
+    )
+    context.url = f'http://{listen}/hosts'
+    wait_until(lambda: answers_ok(context.url), READY_S, 'host list answers')
+    context.first_pid = context.process.pid
+
+
+@when('cluster process is {handled}')
+def handle_process(context, handled):
+    """Handle the process as a test of faults does."""
+    process = context.process
+    if handled == 'killed':
+        process.kill()
+    if handled in {'paused', 'resumed'}:
+        process.pause()
+    if handled == 'resumed':
+        assert not answers_ok(context.url)
+        process.resume()
+    if handled == 'restarted':
+        process.restart()
+        assert process.pid != context.first_pid
+
+
+@then('cluster process {answers} and none is left after {end}')
+def check_process(context, answers, end):
+    """Compare the state of the process, then leave the group's block."""
+    assert context.process.running() == (answers != 'has ended')
+    if answers == 'answers':
+        wait_until(lambda: answers_ok(context.url), READY_S, 'it answers')
+    else:
+        assert not answers_ok(context.url)
+    _leave_block(context.group, end)
+    for pid in (context.first_pid, context.process.pid):
+        assert not psutil.pid_exists(pid), pid
+
+
+def _leave_block(group, end):
+    try:
+        with group:
+            if end == 'an error':
+                raise InjectedError
+    except InjectedError:
+        return
+
+
+@given('cluster plan of {plan}')
+def make_plan(context, plan):
+    """Plan a site, or N agents in R regions."""
+    if plan in plans.SITES:
+        context.plan = plans.site_topology(plan)
+        return
+    agents, regions = plan.split(' in ')
+    context.plan = plans.bench_topology(int(agents), int(regions))
+
+
+@then(
+    'cluster plan has {entries:d} entry hosts, {replicas:d} replicas and '
+    '{regions:d} regions'
+)
+def check_counts(context, entries, replicas, regions):
+    """Compare the sizes of a plan."""
+    plan = context.plan
+    found = (len(plan.entries), len(plan.replicas), len(plan.regions))
+    assert found == (entries, replicas, regions), found
+
+
+@then('cluster plan has valid settings and no address twice')
+def check_plan(context):
+    """Check settings against the program, and listening addresses."""
+    plan = context.plan
+    for host in plan.hosts:
+        settings = Settings.from_config(plans.settings_of(plan, host))
+        assert settings.is_ok(), settings.err_value
+    ports = plans.link_plan_of(plan)['ports']
+    listening = [port['listen'] for port in ports]
+    listening += [port['target'] for port in ports if 'sender' not in port]
+    assert len(listening) == len(set(listening))
+    assert len({host.host_id for host in plan.hosts}) == len(plan.hosts)
