Repeat orders under the same key and switch fencing checks while running

A refused connection was counted as a lost answer, although nothing was sent. Change: callers send a fifth of the orders again under the same key; engines take checks_fencing from POST /faults; connection_refused counts as refused. A test covers open connections that go silent while new ones work.

--- a/script/calls.py
+++ b/script/calls.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import time
 import uuid
 from collections.abc import Callable, Mapping
@@ -51,6 +52,7 @@
         'kind',
         'method',
         'path',
+        'repeated',
         'request_id',
         'streamed',
     )
@@ -71,6 +73,8 @@
         self.check = check
         self.key = ''
         self.streamed = False
+        # Whether the caller sends a right answer's request a second time.
+        self.repeated = False
         self.request_id = uuid.uuid4().hex
 
     def headers(self, workspace: str, priority: int) -> dict[str, str]:
@@ -83,6 +87,13 @@
         }
         return {**fields, 'Idempotency-Key': self.key} if self.key else fields
 
+    def again(self) -> 'Call':
+        """Return the same request under the same key, with a new id."""
+        kind = f'{self.kind}_repeat'
+        call = Call(kind, self.method, self.path, self.body, self.check)
+        call.key = self.key
+        return call
+
 
 MakeCall = Callable[[str], Call]
 
@@ -131,14 +142,18 @@
     return make_call
 
 
-def orders(service: str, path: str) -> MakeCall:
-    """Return a function that makes requests that must run at most once."""
+def orders(service: str, path: str, repeat_ratio: float = 0) -> MakeCall:
+    """Return a function that makes requests that must run at most once.
+
+    A part of them, repeat_ratio, is sent again after a right answer.
+    """
 
     def make_call(caller_id: str) -> Call:
         order = {'caller': caller_id, 'order': uuid.uuid4().hex}
         body = json.dumps(order).encode()
         call = _plain_call('not_idempotent', service, 'POST', path, body)
         call.key = new_key()
+        call.repeated = random.random() < repeat_ratio
         return call
 
     return make_call
--- a/script/demo_run.py
+++ b/script/demo_run.py
@@ -24,6 +24,8 @@
 _SIZE_BYTES: Final = 8000000
 _CHUNK_BYTES: Final = 65536
 _TOKENS: Final = 16
+# Part of the orders that callers send again under the same key.
+_REPEAT_RATIO: Final = 0.2
 # The whole demo ends within 60 s, setup of the environment apart.
 _READY_S: Final = 15.0
 _LOAD_S: Final = 50.0
@@ -130,7 +132,7 @@
     return [
         calls.generations(model, _TOKENS, streamed=True),
         calls.generations(model, _TOKENS, streamed=False),
-        calls.orders(orders, _ORDER_PATHS[site]),
+        calls.orders(orders, _ORDER_PATHS[site], _REPEAT_RATIO),
         calls.reads(others, _READ_PATHS[site]),
     ]
 
--- a/script/load.py
+++ b/script/load.py
@@ -224,11 +224,17 @@
         while time.monotonic() < self._ends_s:
             if not self._kernel.call(TALLY, Started()).unwrap():
                 return
-            entry = random.choice(self._plan.entries)
-            finished = perform(next(makers)(caller_id), entry)
-            self._kernel.call(TALLY, finished).unwrap()
+            call = next(makers)(caller_id)
+            verdict = self._perform(call)
+            if call.repeated and verdict == calls.RIGHT:
+                self._perform(call.again())
             gevent.sleep(random.expovariate(1 / self._plan.pause_s))
 
+    def _perform(self, call: calls.Call) -> str:
+        finished = perform(call, random.choice(self._plan.entries))
+        self._kernel.call(TALLY, finished).unwrap()
+        return finished.verdict
+
 
 def perform(
     call: calls.Call,
@@ -250,6 +256,8 @@
     arrived_s: list[float] = []
     try:
         answer = _exchange(client, call, arrived_s)
+    except ConnectionRefusedError:
+        return Finished(call, calls.REFUSED, 'connection_refused')
     except Exception as error:
         # geventhttpclient raises several unrelated exception types.
         return Finished(call, calls.LOST, repr(error))
--- a/script/standins/__main__.py
+++ b/script/standins/__main__.py
@@ -82,7 +82,7 @@
 
     SERVES is a version that it holds from the start, in the origin's form.
     """
-    limits = engine_state.EngineLimits(in_flight_max, queue_max, checks_fencing)
+    limits = engine_state.EngineLimits(in_flight_max, queue_max)
     active = None
     if serves:
         weights = Weights.from_text(serves)
@@ -92,7 +92,9 @@
         )
     service = engine_state.EngineService(limits, active)
     kernel = Kernel('engine')
-    serve(kernel, listen, engine.set_up(kernel, service, token_s))
+    serve(
+        kernel, listen, engine.set_up(kernel, service, token_s, checks_fencing)
+    )
 
 
 @app.command('plain')
--- a/script/standins/engine.py
+++ b/script/standins/engine.py
@@ -11,12 +11,12 @@
 from script.standins.engine_state import (
     ENGINE,
     Activate,
-    Admit,
     EngineService,
     GetCounters,
     GetStatus,
-    Release,
+    Order,
     StoreVersion,
+    handlers_of,
 )
 from script.standins.faults import (
     ANSWER_SWITCHES,
@@ -41,23 +41,15 @@
     kernel: Kernel,
     service: EngineService,
     token_s: float,
+    checks_fencing: bool,
 ) -> list[Route]:
     """Start the engine and return its routes.
 
     Tokens of a stream are token_s seconds apart.
     """
-    routes = register_faults(kernel, _SWITCHES)
-    kernel.register(
-        ENGINE,
-        {
-            Admit: service.admit,
-            Release: service.release,
-            StoreVersion: service.store,
-            Activate: service.activate,
-            GetStatus: service.status,
-            GetCounters: service.counters,
-        },
-    )
+    switches = {**_SWITCHES, 'checks_fencing': checks_fencing}
+    routes = register_faults(kernel, switches)
+    kernel.register(ENGINE, handlers_of(service))
     return [
         *routes,
         ('GET', '/status', _report_page(kernel, GetStatus())),
@@ -105,11 +97,12 @@
 
 
 def _carry_out(kernel: Kernel, order: StoreVersion | Activate) -> Answer:
-    remaining = current_faults(kernel)['ignore_orders']
+    faults = current_faults(kernel)
+    remaining = faults['ignore_orders']
     if remaining:
         ask(kernel, FAULTS, SetFaults({'ignore_orders': remaining - 1}))
         return Answer.with_json({})
-    outcome = kernel.call(ENGINE, order)
+    outcome = kernel.call(ENGINE, Order(order, faults['checks_fencing']))
     if outcome.is_ok():
         return Answer.with_json(outcome.ok_value)
     return Answer.with_error(HTTPStatus.CONFLICT, outcome.err_value.detail)
--- a/script/standins/engine_state.py
+++ b/script/standins/engine_state.py
@@ -3,7 +3,7 @@
 import heapq
 from typing import Any, Final
 
-from apricotpin.core import Reply
+from apricotpin.core import Handlers, Reply
 from apricotpin.errors import ErrorKind
 
 ENGINE: Final = 'engine'
@@ -68,6 +68,20 @@
         self.fencing_number = fencing_number
 
 
+class Order:
+    """Carry out an order, with or without a check of its fencing number."""
+
+    __slots__ = ('checks_fencing', 'order')
+
+    def __init__(
+        self,
+        order: StoreVersion | Activate,
+        checks_fencing: bool,
+    ) -> None:
+        self.order = order
+        self.checks_fencing = checks_fencing
+
+
 class GetStatus:
     """Ask what the engine serves."""
 
@@ -83,17 +97,11 @@
 class EngineLimits:
     """Hold the settings of an engine; in_flight_max and queue_max count."""
 
-    __slots__ = ('checks_fencing', 'in_flight_max', 'queue_max')
+    __slots__ = ('in_flight_max', 'queue_max')
 
-    def __init__(
-        self,
-        in_flight_max: int,
-        queue_max: int,
-        checks_fencing: bool,
-    ) -> None:
+    def __init__(self, in_flight_max: int, queue_max: int) -> None:
         self.in_flight_max = in_flight_max
         self.queue_max = queue_max
-        self.checks_fencing = checks_fencing
 
 
 class EngineService:
@@ -154,27 +162,18 @@
         self._start_waiting()
         reply.ok()
 
-    def store(self, message: StoreVersion, reply: Reply) -> None:
-        """Hold a version."""
-        self._counters['load_bytes'] += message.size_bytes
-        if self._fenced(message.fencing_number, reply):
-            return
-        self._held[message.model, message.version] = message
-        reply.ok({'version': message.version, 'digest': message.digest})
-
-    def activate(self, message: Activate, reply: Reply) -> None:
-        """Serve a version from the next generation on."""
-        if self._fenced(message.fencing_number, reply):
+    def carry_out(self, message: Order, reply: Reply) -> None:
+        """Hold or serve a version, unless the fencing number is too low."""
+        order = message.order
+        if isinstance(order, StoreVersion):
+            self._counters['load_bytes'] += order.size_bytes
+        if message.checks_fencing and self._is_old(order, reply):
             return
-        held = self._held.get((message.model, message.version))
-        if held is None:
-            detail = f'version {message.version} is not loaded'
-            reply.err(ErrorKind.VERSION_UNKNOWN, detail)
-            return
-        self._active = held
-        self._counters['activations'] += 1
-        self._fencing_number = message.fencing_number
-        reply.ok({'version': held.version, 'digest': held.digest})
+        if isinstance(order, StoreVersion):
+            self._held[order.model, order.version] = order
+            reply.ok({'version': order.version, 'digest': order.digest})
+        else:
+            self._activate(order, reply)
 
     def status(self, _message: GetStatus, reply: Reply) -> None:
         """Answer with what is served."""
@@ -193,15 +192,25 @@
         """Answer with the counters."""
         reply.ok(dict(self._counters))
 
-    def _fenced(self, fencing_number: int, reply: Reply) -> bool:
-        if not self._limits.checks_fencing:
-            return False
-        if fencing_number >= self._fencing_number:
-            self._fencing_number = fencing_number
+    def _activate(self, order: Activate, reply: Reply) -> None:
+        held = self._held.get((order.model, order.version))
+        if held is None:
+            detail = f'version {order.version} is not loaded'
+            reply.err(ErrorKind.VERSION_UNKNOWN, detail)
+            return
+        self._active = held
+        self._counters['activations'] += 1
+        self._fencing_number = order.fencing_number
+        reply.ok({'version': held.version, 'digest': held.digest})
+
+    def _is_old(self, order: StoreVersion | Activate, reply: Reply) -> bool:
+        if order.fencing_number >= self._fencing_number:
+            self._fencing_number = order.fencing_number
             return False
         self._counters['orders_refused'] += 1
         detail = (
-            f'fencing number {fencing_number} is below {self._fencing_number}'
+            f'fencing number {order.fencing_number} is below '
+            f'{self._fencing_number}'
         )
         reply.err(ErrorKind.ENGINE_REFUSED, detail)
         return True
@@ -214,3 +223,14 @@
             _, reply = heapq.heappop(self._waiting)
             self._in_flight += 1
             reply.ok(Generation(active.version, active.digest))
+
+
+def handlers_of(service: EngineService) -> Handlers:
+    """Return the handlers to register for an engine."""
+    return {
+        Admit: service.admit,
+        Release: service.release,
+        Order: service.carry_out,
+        GetStatus: service.status,
+        GetCounters: service.counters,
+    }
--- a/tests/standins/engine.feature
+++ b/tests/standins/engine.feature
@@ -8,13 +8,14 @@
     Then engine stand-in answered <answers> and serves "<version>"
 
     Examples:
-      | options             | switches             | orders                            | answers         | version |
-      |                     | {}                   | load-v1-5 activate-v1-5           | 200 200         | v1      |
-      |                     | {}                   | activate-v1-5                     | 409             |         |
-      |                     | {}                   | corrupt-v1-5 activate-v1-5        | 422 409         |         |
-      |                     | {}                   | load-v1-5 load-v2-4 activate-v1-5 | 200 409 200     | v1      |
-      | checks_fencing=false| {}                   | load-v1-5 load-v2-4 activate-v2-4 | 200 200 200     | v2      |
-      |                     | {"ignore_orders": 1} | load-v1-5 activate-v1-5           | 200 409         |         |
+      | options              | switches                  | orders                            | answers     | version |
+      |                      | {}                        | load-v1-5 activate-v1-5           | 200 200     | v1      |
+      |                      | {}                        | activate-v1-5                     | 409         |         |
+      |                      | {}                        | corrupt-v1-5 activate-v1-5        | 422 409     |         |
+      |                      | {}                        | load-v1-5 load-v2-4 activate-v1-5 | 200 409 200 | v1      |
+      | checks_fencing=false | {}                        | load-v1-5 load-v2-4 activate-v2-4 | 200 200 200 | v2      |
+      |                      | {"checks_fencing": false} | load-v1-5 load-v2-4 activate-v2-4 | 200 200 200 | v2      |
+      |                      | {"ignore_orders": 1}      | load-v1-5 activate-v1-5           | 200 409     |         |
 
   Scenario Outline: a generation is right, or faulty as switched
     Given engine stand-in that serves v1 with switches <switches>
@@ -22,13 +23,13 @@
     Then engine stand-in gave a "<verdict>" answer after 1 requests
 
     Examples:
-      | form     | switches                                | verdict |
-      | streamed | {}                                      | right   |
-      | document | {}                                      | right   |
-      | streamed | {"answer": "late", "delay_s": 0.05}     | right   |
-      | streamed | {"answer": "crossed"}                   | wrong   |
-      | document | {"answer": "crossed"}                   | wrong   |
-      | streamed | {"answer": "truncated"}                 | lost    |
-      | document | {"answer": "truncated"}                 | lost    |
-      | streamed | {"answer": "reset"}                     | lost    |
-      | streamed | {"answer": "silent"}                    | lost    |
+      | form     | switches                            | verdict |
+      | streamed | {}                                  | right   |
+      | document | {}                                  | right   |
+      | streamed | {"answer": "late", "delay_s": 0.05} | right   |
+      | streamed | {"answer": "crossed"}               | wrong   |
+      | document | {"answer": "crossed"}               | wrong   |
+      | streamed | {"answer": "truncated"}             | lost    |
+      | document | {"answer": "truncated"}             | lost    |
+      | streamed | {"answer": "reset"}                 | lost    |
+      | streamed | {"answer": "silent"}                | lost    |
--- a/tests/standins/links.feature
+++ b/tests/standins/links.feature
@@ -7,11 +7,11 @@
     Then link bucket reserves <amounts> bytes at <times> s with waits <waits>
 
     Examples:
-      | per_s | burst_s | amounts | times  | waits   |
-      | 100   | 0       | 50 50   | 10 10  | 0.5 1   |
-      | 100   | 0       | 50 50   | 10 12  | 0.5 0.5 |
-      | 100   | 1       | 50 100  | 10 10  | 0 0.5   |
-      | 0     | 0       | 50 50   | 10 10  | 0 0     |
+      | per_s | burst_s | amounts | times | waits   |
+      | 100   | 0       | 50 50   | 10 10 | 0.5 1   |
+      | 100   | 0       | 50 50   | 10 12 | 0.5 0.5 |
+      | 100   | 1       | 50 100  | 10 10 | 0 0.5   |
+      | 0     | 0       | 50 50   | 10 10 | 0 0     |
 
   Scenario Outline: bytes pass, wait or are lost
     Given links stand-in between hosts near-1, near-2 and far-1
@@ -20,14 +20,14 @@
     Then links stand-in shows the exchange as <outcome>
 
     Examples:
-      | switches           | sender | receiver | outcome |
-      | {}                 | near-1 | near-2   | echoed  |
-      | {}                 | near-1 | far-1    | echoed  |
-      | {"cut": ["far"]}   | near-1 | far-1    | closed  |
-      | {"cut": ["far"]}   | near-1 | near-2   | echoed  |
-      | {"cut": ["near-2"]}| near-1 | near-2   | closed  |
-      | {"stall": ["far"]} | near-1 | far-1    | stalled |
-      | {"drop": ["far"]}  | near-1 | far-1    | silent  |
+      | switches            | sender | receiver | outcome |
+      | {}                  | near-1 | near-2   | echoed  |
+      | {}                  | near-1 | far-1    | echoed  |
+      | {"cut": ["far"]}    | near-1 | far-1    | closed  |
+      | {"cut": ["far"]}    | near-1 | near-2   | echoed  |
+      | {"cut": ["near-2"]} | near-1 | near-2   | closed  |
+      | {"stall": ["far"]}  | near-1 | far-1    | stalled |
+      | {"drop": ["far"]}   | near-1 | far-1    | silent  |
 
   Scenario Outline: each link on the way counts the bytes
     Given links stand-in between hosts near-1, near-2 and far-1
--- a/tests/standins/log.feature
+++ b/tests/standins/log.feature
@@ -8,10 +8,10 @@
     Then log stand-in answered <answers> and holds offsets <offsets>
 
     Examples:
-      | options              | switches            | answers    | offsets |
-      |                      | {}                  | 200 200    | 0 1 2 3 |
-      |                      | {"outage": true}    | 503 503    | none    |
-      |                      | {"lose_replies": 1} | closed 200 | 0 1 2 3 |
+      | options            | switches            | answers    | offsets |
+      |                    | {}                  | 200 200    | 0 1 2 3 |
+      |                    | {"outage": true}    | 503 503    | none    |
+      |                    | {"lose_replies": 1} | closed 200 | 0 1 2 3 |
       | appends_per_s=0.01 | {}                  | 200 429    | 0 1     |
 
   Scenario Outline: records expire and offsets go on
@@ -20,5 +20,5 @@
     Then log stand-in moves its earliest offset to 2 and its next is 2
 
     Examples:
-      | options           |
+      | options         |
       | retention_s=0.1 |
--- a/tests/standins/origin.feature
+++ b/tests/standins/origin.feature
@@ -8,9 +8,9 @@
     Then origin stand-in answered <answers> and counted <sent> bytes
 
     Examples:
-      | options               | switches              | answers       | sent  |
-      |                       | {}                    | right right   | 10000 |
-      |                       | {"busy": true}        | 429 429       | 0     |
-      |                       | {"down": true}        | 503 503       | 0     |
-      |                       | {"corrupt_chunks": 1} | corrupt right | 10000 |
+      | options             | switches              | answers       | sent  |
+      |                     | {}                    | right right   | 10000 |
+      |                     | {"busy": true}        | 429 429       | 0     |
+      |                     | {"down": true}        | 503 503       | 0     |
+      |                     | {"corrupt_chunks": 1} | corrupt right | 10000 |
       | requests_per_s=0.01 | {}                    | right 429     | 5000  |
--- a/tests/standins/plain.feature
+++ b/tests/standins/plain.feature
@@ -8,25 +8,35 @@
     Then plain stand-in gave a "<verdict>" answer and executed it <runs> times
 
     Examples:
-      | switches                                | verdict | runs |
-      | {}                                      | right   | 1    |
-      | {"refuse_status": 503}                  | refused | 0    |
-      | {"answer": "crossed"}                   | wrong   | 1    |
-      | {"answer": "truncated"}                 | lost    | 1    |
-      | {"answer": "reset"}                     | lost    | 1    |
-      | {"answer": "silent"}                    | lost    | 1    |
-      | {"answer": "reset", "executes": false}  | lost    | 0    |
-      | {"answer": "reset", "answer_every": 2}  | right   | 1    |
+      | switches                               | verdict | runs |
+      | {}                                     | right   | 1    |
+      | {"refuse_status": 503}                 | refused | 0    |
+      | {"answer": "crossed"}                  | wrong   | 1    |
+      | {"answer": "truncated"}                | lost    | 1    |
+      | {"answer": "reset"}                    | lost    | 1    |
+      | {"answer": "silent"}                   | lost    | 1    |
+      | {"answer": "reset", "executes": false} | lost    | 0    |
+      | {"answer": "reset", "answer_every": 2} | right   | 1    |
+
+  Scenario Outline: an open connection goes silent and new ones work
+    Given plain stand-in with switches {}
+    When plain stand-in is switched to <switches> while a connection is open
+    Then plain stand-in answers "<old>" there and "<new>" on a new connection
+
+    Examples:
+      | switches                  | old    | new |
+      | {"answer": "silent_open"} | silent | 200 |
+      | {"answer": "normal"}      | 200    | 200 |
 
   Scenario Outline: unknown switches are refused
     Given plain stand-in with switches {}
     Then plain stand-in refuses switches <switches>
 
     Examples:
-      | switches              |
-      | {"anser": "late"}     |
-      | {"answer": "later"}   |
-      | {"answer_every": 0}   |
+      | switches            |
+      | {"anser": "late"}   |
+      | {"answer": "later"} |
+      | {"answer_every": 0} |
 
   Scenario Outline: the process dies where it is told to
     Given plain stand-in as a process with switches <switches>
--- a/tests/steps/standins_steps.py
+++ b/tests/steps/standins_steps.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import tempfile
+from http.client import HTTPConnection
 
 from behave import given, then, when
 from blake3 import blake3
@@ -199,9 +200,9 @@
 
 
 def _start_engine(context, checks_fencing, active, switches):
-    limits = engine_state.EngineLimits(4, 4, checks_fencing)
+    limits = engine_state.EngineLimits(4, 4)
     service = engine_state.EngineService(limits, active)
-    _start(context, 'engine', engine, service, TOKEN_S)
+    _start(context, 'engine', engine, service, TOKEN_S, checks_fencing)
     _switch(context, switches)
 
 
@@ -301,6 +302,35 @@
     assert (found, counts['total']) == (runs, runs), counts
 
 
+@when('plain stand-in is switched to {switches} while a connection is open')
+def switch_with_connection(context, switches):
+    """Use a connection, switch, and use it again."""
+    connection = HTTPConnection(*_test_ip(0), timeout=SILENT_S)
+    context.cleanups.append(connection.close)
+    assert _read_status(connection) == '200'
+    _switch(context, switches)
+    context.answers = [_read_status(connection)]
+    renewed = HTTPConnection(*_test_ip(0), timeout=SILENT_S)
+    context.cleanups.append(renewed.close)
+    context.answers.append(_read_status(renewed))
+
+
+def _read_status(connection):
+    connection.request('GET', '/berths')
+    try:
+        response = connection.getresponse()
+    except TimeoutError:
+        return 'silent'
+    response.read()
+    return str(response.status)
+
+
+@then('plain stand-in answers "{old}" there and "{new}" on a new connection')
+def check_connections(context, old, new):
+    """Compare the answers on the old and the new connection."""
+    assert context.answers == [old, new], context.answers
+
+
 @then('plain stand-in refuses switches {switches}')
 def check_refused_switches(context, switches):
     """Send unknown switches and compare the switches before and after."""
