--- a/apricotpin/const.py
+++ b/apricotpin/const.py
@@ -33,5 +33,9 @@
     HOST_LEAVING,
 )
 
+# Kinds of a service in the configuration document.
+KIND_MODEL: Final = 'model'
+KIND_PLAIN: Final = 'plain'
+
 MAILBOX_SIZE: Final = 1024
 CALL_TIMEOUT_S: Final = 5.0
