--- a/script/standins/__main__.py
+++ b/script/standins/__main__.py
@@ -1,24 +1,24 @@
 """Run one stand-in: python -m script.standins NAME --listen ip:port."""
 
-# The standard library is patched before anything that uses sockets.
-from gevent import monkey
+from script import patched  # noqa: F401, I001 (must come first)
 
-monkey.patch_all()
+import pathlib
+from typing import Annotated
 
-import pathlib  # noqa: E402
-from typing import Annotated  # noqa: E402
+import typer
 
-import typer  # noqa: E402
-
-from script.standins import (  # noqa: E402
+from apricotpin.core import Kernel
+from script.standins import (
     engine,
     engine_state,
     host_list,
+    links,
     log,
     origin,
     plain,
 )
-from script.standins.contents import Weights  # noqa: E402
+from script.standins.contents import Weights, manifest_of
+from script.standins.web import serve
 
 Listen = Annotated[str, typer.Option('--listen', help='ip:port.')]
 
@@ -37,7 +37,8 @@
     retention_s: float = 7200,
 ) -> None:
     """Serve the append-only log."""
-    log.run(listen, appends_per_s, retention_s)
+    kernel = Kernel('log')
+    serve(kernel, listen, log.set_up(kernel, appends_per_s, retention_s))
 
 
 @app.command('host-list')
@@ -47,7 +48,8 @@
     lag_s: float = 2,
 ) -> None:
     """Serve the list of hosts; changes show after lag_s."""
-    host_list.run(listen, hosts, lag_s)
+    kernel = Kernel('host_list')
+    serve(kernel, listen, host_list.set_up(kernel, hosts, lag_s))
 
 
 @app.command('origin')
@@ -59,7 +61,12 @@
 ) -> None:
     """Serve WEIGHTS, each model/version:size_bytes:chunk_bytes."""
     versions = [Weights.from_text(text) for text in weights]
-    origin.run(listen, versions, bytes_per_s, requests_per_s)
+    kernel = Kernel('origin')
+    serve(
+        kernel,
+        listen,
+        origin.set_up(kernel, versions, bytes_per_s, requests_per_s),
+    )
 
 
 @app.command('engine')
@@ -69,10 +76,23 @@
     in_flight_max: int = 16,
     queue_max: int = 64,
     checks_fencing: bool = True,
+    serves: str = '',
 ) -> None:
-    """Serve a model engine."""
+    """Serve a model engine.
+
+    SERVES is a version that it holds from the start, in the origin's form.
+    """
     limits = engine_state.EngineLimits(in_flight_max, queue_max, checks_fencing)
-    engine.run(listen, engine_state.EngineService(limits), token_s)
+    active = None
+    if serves:
+        weights = Weights.from_text(serves)
+        manifest = manifest_of(weights)
+        active = engine_state.StoreVersion(
+            weights.model, weights.version, manifest['digest'], 0, 0
+        )
+    service = engine_state.EngineService(limits, active)
+    kernel = Kernel('engine')
+    serve(kernel, listen, engine.set_up(kernel, service, token_s))
 
 
 @app.command('plain')
@@ -83,7 +103,15 @@
     echo: bool = True,
 ) -> None:
     """Serve a plain service."""
-    plain.run(listen, service, work_s, echo)
+    kernel = Kernel('plain')
+    serve(kernel, listen, plain.set_up(kernel, service, work_s, echo))
+
+
+@app.command('links')
+def run_links(listen: Listen, plan: pathlib.Path) -> None:
+    """Relay between hosts over the paced links of PLAN, a JSON file."""
+    kernel = Kernel('links')
+    serve(kernel, listen, links.set_up(kernel, plan))
 
 
 if __name__ == '__main__':
