Add status and rollout status

Cause: operators had no view of the processes and of a rollout. Change: a thrift method readiness, answered by admin; status asks every process of the host list, rollout status asks the agents and sums up by data centre. Conclusion: tried by hand against two entry hosts and an agent.

--- a/apricotpin/cli.py
+++ b/apricotpin/cli.py
@@ -4,7 +4,13 @@
 
 import typer
 
-from apricotpin.commands import config, processes, rollout
+from apricotpin.commands import (
+    config,
+    fleet_status,
+    processes,
+    rollout,
+    rollout_status,
+)
 from apricotpin.const import PROGRAM, VERSION
 
 ShowVersion = Annotated[
@@ -23,6 +29,8 @@
 )
 app.command('entry')(processes.entry)
 app.command('agent')(processes.agent)
+app.command('status')(fleet_status.status)
+rollout.app.command('status')(rollout_status.status)
 app.add_typer(config.app, name='config')
 app.add_typer(rollout.app, name='rollout')
 
--- a/apricotpin/components/admin/__init__.py
+++ b/apricotpin/components/admin/__init__.py
@@ -10,6 +10,9 @@
 from apricotpin.errors import Failure
 from apricotpin.helpers.listeners import open_listener
 from apricotpin.messages.admin import GetProcessStatus, Health
+from apricotpin.messages.document import ConfigChanged
+from apricotpin.messages.hosts import GetReadiness
+from apricotpin.messages.weights import EngineState
 from apricotpin.settings import Settings
 
 
@@ -29,6 +32,9 @@
         {
             Health: service.note_health,
             GetProcessStatus: service.report,
+            GetReadiness: service.report_readiness,
+            ConfigChanged: service.note_config,
+            EngineState: service.note_engine,
             Stopping: service.note_stopping,
         },
         on_stop=server.close,
--- a/apricotpin/components/peer_api/dispatch.py
+++ b/apricotpin/components/peer_api/dispatch.py
@@ -15,6 +15,7 @@
     IDLE_TIMEOUT_S,
 )
 from apricotpin.const import (
+    SERVICE_ADMIN,
     SERVICE_CLAIMS,
     SERVICE_CONFIGURATION,
     SERVICE_MEMBERS,
@@ -32,6 +33,7 @@
         'weights_status': SERVICE_WEIGHTS,
         'heartbeat': SERVICE_MEMBERS,
         'sync_hosts': SERVICE_MEMBERS,
+        'readiness': SERVICE_ADMIN,
         'config_state': SERVICE_CONFIGURATION,
         'claim': SERVICE_CLAIMS,
         'record_outcome': SERVICE_CLAIMS,
--- a/apricotpin/messages/hosts.py
+++ b/apricotpin/messages/hosts.py
@@ -142,3 +142,38 @@
 
     def __init__(self, hosts: list[Host]) -> None:
         self.hosts = hosts
+
+
+class GetReadiness:
+    """Ask whether the process is ready, and what it serves."""
+
+    __slots__ = ()
+
+
+class Readiness:
+    """Tell whether the process is ready, and what it serves."""
+
+    __slots__ = (
+        'config_offset',
+        'host_id',
+        'ready',
+        'reason',
+        'state',
+        'version',
+    )
+
+    def __init__(
+        self,
+        host_id: str,
+        ready: bool,
+        reason: str,
+        state: str,
+        version: str,
+        config_offset: int,
+    ) -> None:
+        self.host_id = host_id
+        self.ready = ready
+        self.reason = reason
+        self.state = state
+        self.version = version
+        self.config_offset = config_offset
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -41,6 +41,18 @@
   5: i64 folded_offset
 }
 
+struct GetReadiness {
+}
+
+struct Readiness {
+  1: string host_id
+  2: bool ready
+  3: string reason
+  4: string state
+  5: string version
+  6: i64 config_offset
+}
+
 struct GetConfigState {
 }
 
@@ -126,6 +138,7 @@
   WeightsStatus weights_status(1: GetWeightsStatus request)
   HeartbeatAnswer heartbeat(1: Heartbeat request)
   HostChanges sync_hosts(1: SyncHosts request)
+  Readiness readiness(1: GetReadiness request)
   ConfigState config_state(1: GetConfigState request)
   ClaimAnswer claim(1: Claim request)
   Recorded record_outcome(1: RecordOutcome request)
--- a/tests/components/members/decisions.feature
+++ b/tests/components/members/decisions.feature
@@ -42,6 +42,7 @@
       | reports                                              | state     |
       | list live; beat 5/1 live; list leaving; beat 6/1 live | leaving  |
       | list live; beat 5/1 live; list leaving; beat 6/1 live; list live | live |
+      | list live; beat 5/1 live; list leaving; beat 6/1 live; list leaving; list live | live |
       | list leaving; beat 6/1 live                          | leaving   |
       | list leaving; beat 6/1 live; list live               | live      |
 
