--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -30,12 +30,27 @@
 struct SyncHosts {
   1: i64 since
   2: i64 table_id
+  3: list<i64> digests
 }
 
 struct HostChanges {
   1: i64 next_since
   2: i64 table_id
   3: list<Host> hosts
+  4: i64 accepted_offset
+  5: i64 folded_offset
+}
+
+struct GetReadiness {
+}
+
+struct Readiness {
+  1: string host_id
+  2: bool ready
+  3: string reason
+  4: string state
+  5: string version
+  6: i64 config_offset
 }
 
 struct GetConfigState {
@@ -47,13 +62,16 @@
   3: string document_json
 }
 
+// index -1 asks for the manifest; host_id is the host that asks
 struct FetchChunk {
   1: string model
   2: string version
   3: i32 index
   4: i32 wait_ms
+  5: string host_id
 }
 
+// status: ok, not_yet, blocked, busy, unknown_version
 struct ChunkAnswer {
   1: string status
   2: binary data
@@ -120,6 +138,7 @@
   WeightsStatus weights_status(1: GetWeightsStatus request)
   HeartbeatAnswer heartbeat(1: Heartbeat request)
   HostChanges sync_hosts(1: SyncHosts request)
+  Readiness readiness(1: GetReadiness request)
   ConfigState config_state(1: GetConfigState request)
   ClaimAnswer claim(1: Claim request)
   Recorded record_outcome(1: RecordOutcome request)
