Test claims between entry hosts over HTTP and thrift

Cause: the decisions are only as safe as the service that runs them. Change: three entry hosts with thrift listeners over the stand-in log, in a table of orders and faults: repeats at once, lost replies and answers, outage, owner cut off, dead or restarted, host lists that differ, bad keys. A request whose owner could not reach the log in time is refused at once instead of asked again, since the second ask could be claimed after its caller was refused: the row 'log outage' failed before this change.

--- a/apricotpin/components/claims/exchange.py
+++ b/apricotpin/components/claims/exchange.py
@@ -127,6 +127,10 @@
         if request.from_peer or requester.is_final(answer):
             self._finish(request, answer)
             return
+        if requester.refuses(answer):
+            # The owner has waited for most of the time there was.
+            request.deadlines = requester.Deadlines(0, 0)
+            return
         request.tries += 1
         if requester.is_hopeless(request):
             self._drop(request)
--- a/apricotpin/components/claims/requester.py
+++ b/apricotpin/components/claims/requester.py
@@ -86,6 +86,18 @@
     return answer.verdict not in _TRANSIENT
 
 
+def refuses(answer: Answer | None) -> bool:
+    """Tell whether the owner could not reach the log in time.
+
+    The request ends at the next tick. If it asked again, its claim could
+    arrive after its caller was refused.
+    """
+    return (
+        isinstance(answer, ClaimAnswer)
+        and answer.verdict == verdicts.UNAVAILABLE
+    )
+
+
 def refusal_of(message: Asking, verdict: str, detail: str = '') -> Answer:
     """Return the answer to a request that is not decided here."""
     if isinstance(message, RecordOutcome):
--- /dev/null
+++ b/tests/components/claims/hosts.feature
@@ -0,0 +1,37 @@
+Feature: Claims between entry hosts
+  Three entry hosts share the stand-in log over HTTP and ask each other over
+  thrift. h1 owns the partition of the key by the hosts' lists. An action is
+  granted once, and the caller's host always learns whether it may run.
+
+  Scenario Outline: <case>
+    Given claims at three entry hosts over the stand-in log
+    When claims hosts do "<orders>"
+    Then claims hosts were told "<answers>"
+
+    Examples: without faults
+      | case                        | orders                                            | answers                       |
+      | repeats at several hosts    | all claim-together                                | granted; running; running     |
+      | outcome is replayed         | h2 claims; h2 reports; h3 claims; h1 finds        | granted; stored; done booked; done booked |
+      | not run is final            | h2 claims; h2 closes; h3 claims                   | granted; stored; not_run      |
+      | same key, other request     | h2 claims a; h3 claims b                          | granted; reused               |
+      | spelling of the key         | h2 claims; the key upper; h3 claims               | granted; running              |
+      | nothing is known            | h2 finds                                          | outcome_not_found             |
+      | outcome without a claim     | h2 reports                                        | failed                        |
+      | outcome by another host     | h2 claims; h3 reports                             | granted; failed               |
+      | key is not a UUID           | the key text; h2 claims                           | key_invalid                   |
+      | key is a random UUID        | the key random; h2 claims                         | key_invalid                   |
+      | key is too old              | the key 601; h2 claims                            | key_expired                   |
+      | key is from the future      | the key -60; h2 claims                            | key_invalid                   |
+
+    Examples: faults
+      | case                                  | orders                                                        | answers                          |
+      | reply of the append lost              | the log up 1; h2 claims; h3 claims                            | granted; running                 |
+      | log outage                            | the log out 0; h2 claims; the log up 0; h3 claims-patiently             | unavailable; granted             |
+      | log outage after the run              | h2 claims; the log out 0; h2 reports; the log up 0; h2 recorded; h3 claims | granted; failed; done booked |
+      | owner cut off                         | h1 stops; h2 claims                                           | unavailable                      |
+      | owner died, the next takes over       | h2 claims; h1 stops; h2 lists h2 h3; h3 lists h2 h3; h3 claims-patiently | granted; running                |
+      | owner restarted                       | h2 claims; h1 restarts; h3 claims                             | granted; running                 |
+      | outcome while the owner is away       | h2 claims; h1 stops; h2 reports; h2 lists h2 h3; h3 lists h2 h3; h2 recorded; h3 claims | granted; failed; done booked |
+      | host lists differ                     | h2 lists h2; h2 claims; h3 claims; h2 reports; h3 claims      | granted; running; stored; running |
+      | answer of the owner lost once         | h2 loses-answers 1; h2 claims; h3 claims                      | granted; running                 |
+      | answers of the owner lost             | h2 loses-answers 99; h2 claims; h2 lists h1 h2 h3; h2 recorded; h3 claims | unavailable; not_run |
