Measure the cost of claims against the naive version

Cause: the log takes several hundred appends a second and a node may spend 16 KB/s, 4.4% of a core and 64 MB on control. Change: script/bench claims drives one of 64 partitions in simulated time over the pure decisions and the real encoding; 2,000 actions at each rate, 512-byte bodies, 390 nodes.

--- /dev/null
+++ b/script/bench_claims.py
@@ -0,0 +1,317 @@
+"""Measure the cost of claims against the naive version.
+
+A partition is driven in simulated time with a seeded arrival process, so
+counts and bytes are the same on every run; CPU time is measured. Each line is
+made of key=value pairs. Fleet figures follow from one partition, since
+partitions do not influence each other.
+"""
+
+import heapq
+import itertools
+import json
+import random
+import time
+import tracemalloc
+import uuid
+
+from thriftpy2.utils import serialize
+
+from apricotpin.components.claims import effects, events
+from apricotpin.components.claims.const import APPEND_SPACING_S
+from apricotpin.components.claims.decisions import step
+from apricotpin.components.claims.ledger import Asked, Entry, Ledger, fold
+from apricotpin.components.claims.ownership import Ownership
+from apricotpin.components.claims.records import (
+    Claimed,
+    Ended,
+    Open,
+    decode,
+    encode,
+)
+from apricotpin.components.claims.state import Partition, Rules
+from apricotpin.helpers.log_client import LogPage, LogRecord
+from apricotpin.helpers.wire import to_wire
+from apricotpin.messages.claims import (
+    Claim,
+    ClaimAnswer,
+    Outcome,
+    Recorded,
+    RecordOutcome,
+)
+from apricotpin.messages.hosts import Host
+
+NODES = 390
+PARTITIONS = 64
+RATES_PER_S = (10, 50, 200, 800, 1700)
+# Actions of one partition for each rate.
+ACTIONS = 2000
+LOG_LATENCY_S = 0.005
+RUN_S = 0.05
+BODY_BYTES = 512
+# Headers of an HTTP request and its response, with the TCP handshake.
+HTTP_OVERHEAD_BYTES = 700
+# Method name, frame and TCP headers of a thrift call and its answer.
+THRIFT_OVERHEAD_BYTES = 240
+START_S = 1_800_000_000.0
+MEMORY_CLAIMS = 20_000
+DIGEST = '0123456789abcdef' * 2
+
+
+class Cost:
+    """Count what the log and the owner do."""
+
+    __slots__ = (
+        'appends',
+        'cpu_s',
+        'granted',
+        'latency_s',
+        'log_bytes',
+        'reads',
+        'records',
+    )
+
+    def __init__(self):
+        self.appends = 0
+        self.reads = 0
+        self.records = 0
+        self.log_bytes = 0
+        self.granted = 0
+        self.latency_s = []
+        self.cpu_s = 0
+
+
+class Simulation:
+    """Run one partition in simulated time."""
+
+    __slots__ = (
+        'asked_s',
+        'asks',
+        'cost',
+        'numbers',
+        'offset',
+        'owner',
+        'queue',
+        'rules',
+    )
+
+    def __init__(self):
+        self.owner = Partition('bench.0')
+        self.rules = Rules(3600)
+        self.queue = []
+        self.numbers = itertools.count(1)
+        self.asks = {}
+        self.asked_s = {}
+        self.offset = 0
+        self.cost = Cost()
+
+    def run(self, rate_per_s, duration_s):
+        """Offer actions at a rate for a time."""
+        source = random.Random(1)
+        now_s = START_S
+        while now_s < START_S + duration_s:
+            now_s += source.expovariate(rate_per_s)
+            key = _key(now_s, source)
+            attempt_id = f'{source.getrandbits(64):016x}'
+            record = Claimed(key, DIGEST, attempt_id, 'entry-17')
+            self._push(now_s, (events.AskClaim, record))
+        while self.queue:
+            at_s, _number, event = heapq.heappop(self.queue)
+            self._handle(event, at_s)
+        return self.cost
+
+    def _push(self, at_s, event):
+        heapq.heappush(self.queue, (at_s, next(self.numbers), event))
+
+    def _handle(self, event, now_s):
+        if isinstance(event, tuple):
+            event = self._ask(event, now_s)
+        before_s = time.process_time()
+        found = step(self.owner, event, now_s, self.rules)
+        self.cost.cpu_s += time.process_time() - before_s
+        for effect in found:
+            self._run(effect, now_s)
+
+    def _ask(self, event, now_s):
+        ask_class, record = event
+        ask_id = next(self.numbers)
+        digest = record.digest if ask_class is events.AskClaim else ''
+        asked = Asked(record.key, digest, record.attempt_id, 35)
+        self.asks[ask_id] = record
+        self.asked_s[ask_id] = now_s
+        return ask_class(ask_id, asked, record, now_s + 10)
+
+    def _run(self, effect, now_s):
+        cost = self.cost
+        if isinstance(effect, effects.AppendBatch):
+            before_s = time.process_time()
+            encoded = [encode(record) for record in effect.records]
+            body = json.dumps({'records': encoded})
+            cost.cpu_s += time.process_time() - before_s
+            cost.appends += 1
+            cost.records += len(effect.records)
+            cost.log_bytes += len(body) + HTTP_OVERHEAD_BYTES
+            event = events.Appended(self.offset)
+            self.offset += len(effect.records)
+            self._push(now_s + LOG_LATENCY_S, event)
+        elif isinstance(effect, effects.ReadStream):
+            cost.reads += 1
+            cost.log_bytes += HTTP_OVERHEAD_BYTES
+            page = LogPage([], 0, self.offset)
+            self._push(now_s + LOG_LATENCY_S, events.PageRead(page))
+        elif isinstance(effect, effects.Pause):
+            self._push(now_s + effect.pause_s, events.Woken())
+        elif isinstance(effect, effects.Verdict):
+            self._granted(effect, now_s)
+
+    def _granted(self, effect, now_s):
+        assert effect.verdict == 'granted', effect.verdict
+        record = self.asks.pop(effect.ask_id)
+        self.cost.granted += 1
+        self.cost.latency_s.append(now_s - self.asked_s[effect.ask_id])
+        outcome = Outcome(200, 'application/json', bytes(BODY_BYTES))
+        ended = Ended(record.key, record.attempt_id, outcome)
+        self._push(now_s + RUN_S, (events.AskFinal, ended))
+
+
+def _key(created_s, source):
+    number = int(created_s * 1000) << 80 | 7 << 76 | 2 << 62
+    number |= source.getrandbits(62)
+    return f'{uuid.UUID(int=number)}/orders/karatsu'
+
+
+def forward_bytes():
+    """Return the thrift bytes of a claim, a record and their answers."""
+    text = str(uuid.UUID(int=1))
+    names = ('karatsu', 'orders', text)
+    outcome = Outcome(200, 'application/json', bytes(BODY_BYTES))
+    calls = (
+        Claim(*names, DIGEST * 2, 'entry-17', DIGEST[:16]),
+        ClaimAnswer('granted'),
+        RecordOutcome(*names, False, outcome, DIGEST[:16]),
+        Recorded(True),
+    )
+    payload = sum(len(serialize(to_wire(call))) for call in calls)
+    return payload + 2 * THRIFT_OVERHEAD_BYTES
+
+
+def naive_bytes():
+    """Return the log bytes of the records of one action, as a reader gets."""
+    key = _key(START_S, random.Random(1))
+    outcome = Outcome(200, 'application/json', bytes(BODY_BYTES))
+    attempt_id = DIGEST[:16]
+    records = (
+        Claimed(key, DIGEST, attempt_id, 'entry-17'),
+        Ended(key, attempt_id, outcome),
+    )
+    return sum(len(json.dumps(encode(record))) for record in records)
+
+
+def partitions_of_busiest():
+    """Return the largest number of partitions that one node owns."""
+    ownership = Ownership('entry-0')
+    hosts = [
+        Host(f'entry-{number}', role='entry', state='live', peer_address='x')
+        for number in range(NODES)
+    ]
+    ownership.update(hosts)
+    owners = [
+        ownership.owner_of(f'claims-{number}') for number in range(PARTITIONS)
+    ]
+    return max(owners.count(owner) for owner in owners)
+
+
+def measure_rate(rate_per_s, busiest):
+    """Print the cost of claims at a rate of the fleet."""
+    partition_rate_per_s = rate_per_s / PARTITIONS
+    duration_s = ACTIONS / partition_rate_per_s
+    cost = Simulation().run(partition_rate_per_s, duration_s)
+    actions = cost.granted
+    appends = cost.appends * PARTITIONS / duration_s
+    log_bytes = cost.log_bytes / actions
+    per_action = log_bytes + 2 * forward_bytes()
+    own = forward_bytes() * rate_per_s / NODES
+    owner = (log_bytes + forward_bytes()) * rate_per_s / PARTITIONS * busiest
+    latencies = sorted(cost.latency_s)
+    print(
+        f'bench=claims version=batched rate_per_s={rate_per_s}',
+        f'actions_measured={actions}',
+        f'appends_per_action={cost.appends / actions:.3f}',
+        f'appends_per_s_fleet={appends:.0f}',
+        f'records_per_append={cost.records / cost.appends:.2f}',
+        f'bytes_per_action={per_action:.0f}',
+        f'bytes_per_s_node_mean={per_action * rate_per_s / NODES:.0f}',
+        f'bytes_per_s_node_busiest={owner + own:.0f}',
+        f'owner_cpu_us_per_action={cost.cpu_s / actions * 1e6:.0f}',
+        f'grant_median_s={latencies[len(latencies) // 2]:.3f}',
+        f'grant_p95_s={latencies[int(len(latencies) * 0.95)]:.3f}',
+    )
+
+
+def measure_naive(rate_per_s):
+    """Print the cost of the naive version at a rate of the fleet."""
+    payload = naive_bytes()
+    per_action = payload * (1 + NODES) + 2 * HTTP_OVERHEAD_BYTES
+    print(
+        f'bench=claims version=naive rate_per_s={rate_per_s}',
+        'appends_per_action=2.000',
+        f'appends_per_s_fleet={2 * rate_per_s}',
+        f'bytes_per_action={per_action:.0f}',
+        f'bytes_per_s_node_mean={per_action * rate_per_s / NODES:.0f}',
+    )
+
+
+def _claim_text(source):
+    attempt_id = f'{source.getrandbits(64):016x}'
+    key = _key(START_S, source)
+    record = Claimed(key, DIGEST, attempt_id, 'entry-17', 1, 'bench.0')
+    return json.dumps(encode(record))
+
+
+def measure_memory():
+    """Print the memory of a claim and the time to fold one at take-over."""
+    source = random.Random(2)
+    texts = [_claim_text(source) for _ in range(MEMORY_CLAIMS)]
+    ledger = Ledger()
+    fold(ledger, 0, Open(1, 'bench.0'), START_S)
+    before_s = time.process_time()
+    entries = [
+        LogRecord(number, 0, json.loads(text))
+        for number, text in enumerate(texts)
+    ]
+    for entry in entries:
+        fold(ledger, entry.offset, decode(entry.value), START_S)
+    folded_s = time.process_time() - before_s
+    tracemalloc.start()
+    kept = {
+        decode(json.loads(text)).key: Entry(
+            f'{number:032x}', f'{number:016x}', START_S + number
+        )
+        for number, text in enumerate(texts)
+    }
+    memory_bytes, _peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    per_claim = memory_bytes / len(kept)
+    print(
+        f'bench=claims memory_bytes_per_claim={per_claim:.0f}',
+        f'takeover_cpu_us_per_record={folded_s / MEMORY_CLAIMS * 1e6:.1f}',
+        f'claims_in_32_mb={32 * 2**20 / per_claim:.0f}',
+    )
+
+
+def main():
+    """Print all measurements."""
+    busiest = partitions_of_busiest()
+    print(
+        f'bench=claims nodes={NODES} partitions={PARTITIONS}',
+        f'append_spacing_s={APPEND_SPACING_S}',
+        f'log_latency_s={LOG_LATENCY_S} body_bytes={BODY_BYTES}',
+        f'partitions_of_busiest_node={busiest}',
+    )
+    for rate_per_s in RATES_PER_S:
+        measure_rate(rate_per_s, busiest)
+        measure_naive(rate_per_s)
+    measure_memory()
+
+
+if __name__ == '__main__':
+    main()
