Test claims, requests, overload and shutdown of the frontend

Cause: these parts of the frontend had no tests, and three faults showed when they were written.

Change: tables for claim verdicts, stored outcomes, bounds of requests, admission by priority and shutdown. Outcome look-ups are told of failures as keyed requests are. The rest of a refused body is read and dropped up to 8 MiB; a connection that closed on unread bytes was reset, and the caller never saw the refusal. The parser's own end after surplus bytes replaces a second check that no test could reach.

Conclusion: a request that is refused at admission, at shutdown or before its claim reports "executed: unknown" when it carries a key.

--- a/apricotpin/components/frontend/callers.py
+++ b/apricotpin/components/frontend/callers.py
@@ -23,6 +23,10 @@
 from apricotpin.components.frontend.events import describe_failure
 from apricotpin.errors import Answer, ErrorKind, Failure
 
+# First segment of a path.
+KIND_SERVICES: Final = 'services'
+KIND_OUTCOMES: Final = 'outcomes'
+
 Headers = list[tuple[str, str]]
 
 _TOKEN: Final = re.compile(r'[A-Za-z0-9._:~-]+')
@@ -76,7 +80,7 @@
     ) -> Result['CallerRequest', Failure]:
         """Read a request; the failure names what is wrong with it."""
         request = cls(environ)
-        if request.kind not in {'services', 'outcomes'}:
+        if request.kind not in {KIND_SERVICES, KIND_OUTCOMES}:
             return Err(Failure(ErrorKind.UNKNOWN_SERVICE, _PATHS))
         fault = request.fault()
         if fault:
--- a/apricotpin/components/frontend/const.py
+++ b/apricotpin/components/frontend/const.py
@@ -12,9 +12,10 @@
 ANSWER_HEAD_MAX_BYTES: Final = 64 * _KIB
 EVENT_MAX_BYTES: Final = _MIB
 RECEIVE_BYTES: Final = 64 * _KIB
-# A refused request with a longer body costs the caller its connection, since
-# reading the rest would take longer than a new connection.
-DISCARD_MAX_BYTES: Final = 64 * _KIB
+# What is left of a refused body is read and dropped, since a connection that
+# closes on unread bytes is reset and the caller never sees the refusal. More
+# than this is not worth reading.
+DISCARD_MAX_BYTES: Final = 8 * _MIB
 REQUEST_ID_MAX_CHARACTERS: Final = 128
 
 # Callers' connections; the router's mailbox has room for all of them.
--- a/apricotpin/components/frontend/pages.py
+++ b/apricotpin/components/frontend/pages.py
@@ -10,7 +10,11 @@
 from result import Err, Ok, Result
 
 from apricotpin.components.frontend import refusals
-from apricotpin.components.frontend.callers import CallerAnswer, CallerRequest
+from apricotpin.components.frontend.callers import (
+    KIND_OUTCOMES,
+    CallerAnswer,
+    CallerRequest,
+)
 from apricotpin.components.frontend.const import HEADER_REQUEST_ID
 from apricotpin.components.frontend.job import Job
 from apricotpin.components.frontend.keyed import look_up, run_once
@@ -72,7 +76,7 @@
         begun = self._kernel.call(SERVICE_FRONTEND, BeginCall(self._ticket))
         if begun.is_err():
             return begun
-        if self._caller.kind == 'outcomes':
+        if self._caller.kind == KIND_OUTCOMES:
             return look_up(self._kernel, self._caller)
         return self._admit().and_then(self._serve)
 
@@ -126,7 +130,10 @@
             return not self._job.progress.idempotent
         # Until the service's rules are known, a key means that the request
         # may have run before.
-        return self._caller is not None and bool(self._caller.key)
+        caller = self._caller
+        if caller is None:
+            return False
+        return bool(caller.key) or caller.kind == KIND_OUTCOMES
 
 
 def make_application(kernel: Kernel, host_id: str) -> Application:
--- a/apricotpin/components/frontend/parser.py
+++ b/apricotpin/components/frontend/parser.py
@@ -59,8 +59,12 @@
 
     @property
     def reusable(self) -> bool:
-        """Tell whether the connection may carry another request."""
-        return self.whole and not self.surplus and self.should_keep_alive()
+        """Tell whether the connection may carry another request.
+
+        Bytes that follow the answer end the parser, and with it the
+        connection.
+        """
+        return self.whole and self.should_keep_alive()
 
     def header(self, name: str) -> str:
         """Return the value of a header, or nothing if it is not single."""
--- /dev/null
+++ b/tests/components/frontend/claims.feature
@@ -0,0 +1,99 @@
+Feature: Requests that run at most once
+  Only a granted claim lets a request run. "Not run" is said only when the key
+  is closed for good, since another entry host may hold a repeat of the key.
+
+  Scenario Outline: a claim that is <verdict> ends the request as <kind>
+    Given frontend with upstreams "near" of "fees"
+    And frontend is configured with claims claim_timeout_s 0.3
+    And frontend's claims service answers <verdict>
+    When frontend receives POST /services/fees/fees/1 with a key
+    Then frontend answers <kind>, executed <executed>, repeat <repeat>
+    And frontend upstreams ran it 0 times
+    And frontend reported nothing to claims
+    And frontend holds nothing of the request
+
+    Examples:
+      | verdict     | kind               | executed | repeat   |
+      | running     | outcome_unknown    | unknown  | same_key |
+      | unknown     | outcome_unknown    | unknown  | same_key |
+      | not_run     | not_run            | no       | new_key  |
+      | reused      | key_reused         | unknown  | new_key  |
+      | unavailable | claims_unavailable | unknown  | same_key |
+      | not_owner   | claims_unavailable | unknown  | same_key |
+      | unheard_of  | claims_unavailable | unknown  | same_key |
+      | no_answer   | claims_unavailable | unknown  | same_key |
+      | internal    | claims_unavailable | unknown  | same_key |
+      | key_invalid | key_invalid        | no       | new_key  |
+      | key_expired | key_expired        | unknown  | no       |
+
+  Scenario Outline: a repeat of a key receives the stored outcome
+    Given frontend with upstreams "near" of "fees"
+    And frontend's claims service has the outcome "<body>" <detail>
+    When frontend receives <method> <target> with a key
+    Then frontend answers <kind>, executed <executed>, repeat <repeat>
+    And frontend passed on status <status>
+    And frontend upstreams ran it 0 times
+
+    Examples:
+      | method | target                | body | detail       | kind               | executed | repeat | status |
+      | POST   | /services/fees/fees/1 | paid | whole        | ok                 | -        | -      | 201    |
+      | POST   | /services/fees/fees/1 |      | body_omitted | outcome_not_stored | yes      | no     | 410    |
+      | GET    | /outcomes/fees/a-key  | paid | whole        | ok                 | -        | -      | 201    |
+      | GET    | /outcomes/fees/a-key  |      | body_omitted | outcome_not_stored | yes      | no     | 410    |
+
+  Scenario Outline: an outcome that is <verdict> is reported as <kind>
+    Given frontend with upstreams "near" of "fees"
+    And frontend's claims service answers <verdict>
+    When frontend receives GET /outcomes/fees/a-key
+    Then frontend answers <kind>, executed <executed>, repeat <repeat>
+
+    Examples:
+      | verdict           | kind               | executed | repeat   |
+      | running           | outcome_unknown    | unknown  | same_key |
+      | not_run           | not_run            | no       | new_key  |
+      | outcome_not_found | outcome_not_found  | unknown  | same_key |
+      | key_expired       | key_expired        | unknown  | no       |
+      | unavailable       | claims_unavailable | unknown  | same_key |
+
+  Scenario: without a key a request that runs once is refused
+    Given frontend with upstreams "near" of "fees"
+    When frontend receives POST /services/fees/fees/1
+    Then frontend answers key_required, executed no, repeat new_key
+    And frontend upstreams ran it 0 times
+    And frontend asked for 0 claims
+
+  Scenario: "not run" is not said while the key could not be closed
+    Given frontend with upstreams "near" of "fees"
+    And frontend upstream "near" has the fault "refused"
+    And frontend's claims service stores nothing
+    When frontend receives POST /services/fees/fees/1 with a key
+    Then frontend answers claims_unavailable, executed unknown, repeat same_key
+
+  Scenario Outline: a request is refused before its claim without upstreams
+    Given frontend with upstreams "near" of "fees"
+    And frontend upstream "near" is <state>
+    When frontend receives POST <target> with a key
+    Then frontend answers no_upstream, executed <executed>, repeat <repeat>
+    And frontend asked for 0 claims
+    And frontend upstreams ran it 0 times
+
+    Examples:
+      | state     | target                   | executed | repeat   |
+      | leaving   | /services/fees/fees/1    | unknown  | same_key |
+      | switching | /services/fees/fees/1    | unknown  | same_key |
+      | leaving   | /services/fees/letters/1 | no       | yes      |
+
+  Scenario Outline: a process that was paused for <pause_s> s checks again
+    Given frontend with upstreams "near, far" of "fees"
+    And frontend is configured with claims claim_timeout_s 9
+    And frontend's process pauses for <pause_s> s in a claim, and "near" leaves
+    When frontend receives POST /services/fees/fees/1 with a key
+    Then frontend answers <kind>, executed <executed>, repeat <repeat>
+    And frontend upstream "near" received nothing
+    And frontend upstreams ran it <runs> times
+    And frontend reported <report> to claims
+
+    Examples:
+      | pause_s | kind    | executed | repeat  | runs | report  |
+      | 1.2     | ok      | -        | -       | 1    | outcome |
+      | 2.2     | not_run | no       | new_key | 0    | not_run |
--- a/tests/frontend_world.py
+++ b/tests/frontend_world.py
@@ -42,6 +42,11 @@
                     'idempotent': True,
                     'not_run_statuses': [409],
                 },
+                {
+                    'method': 'POST',
+                    'path_prefix': '/letters/paid',
+                    'idempotent': False,
+                },
                 {
                     'method': 'POST',
                     'path_prefix': '/fees',
@@ -88,6 +93,7 @@
         self.outcome = None
         self.stores = True
         self.block_s = 0
+        self.then = None
         self.asked = []
         self.reported = []
 
@@ -97,6 +103,7 @@
         if self.block_s:
             # Stops the whole process, as a pause by the platform does.
             get_original('time', 'sleep')(self.block_s)
+            self.then()
         self._answer(reply)
 
     def look_up(self, message, reply):
@@ -232,6 +239,13 @@
         self.announce()
         return upstream
 
+    def set_state(self, place, state):
+        """Announce another state of an upstream."""
+        for name, host in self.hosts.items():
+            if place in name:
+                host.state = state
+        self.announce()
+
     def announce(self):
         """Publish the hosts."""
         self.kernel.publish(HostsChanged(list(self.hosts.values())))
--- a/tests/steps/frontend_steps.py
+++ b/tests/steps/frontend_steps.py
@@ -12,6 +12,32 @@
 _ALWAYS = 100
 _BODY = b'a letter'
 _GENERATE = '/services/drafting/generate'
+_LETTERS = '/services/fees/letters/held'
+_LONG = 4 * 1024 * 1024 + 1
+
+# Target, body and headers of requests that differ in one respect.
+_REQUESTS = {
+    'a long body': (_LETTERS, b'x' * _LONG, {}),
+    'a long chunk': (_LETTERS, iter([b'x' * _LONG]), {}),
+    'priority 10': (_LETTERS, _BODY, {'X_Priority': '10'}),
+    'priority high': (_LETTERS, _BODY, {'X_Priority': 'high'}),
+    'a space in its id': (_LETTERS, _BODY, {'X_Request_Id': 'a b'}),
+    'a long id': (_LETTERS, _BODY, {'X_Request_Id': 'a' * 129}),
+    'dots in its path': ('/services/fees/letters/../fees', _BODY, {}),
+    'coded dots': ('/services/fees/letters/%2e%2e/fees', _BODY, {}),
+    'an unknown service': ('/services/none/letters', _BODY, {}),
+    'an unknown path': ('/letters', _BODY, {}),
+    'all kinds of headers': (
+        '/services/fees/letters/a%20b?c=%2F&d',
+        _BODY,
+        {
+            'X_Request_Id': 'my-id',
+            'X_Workspace': 'small',
+            'X_Colour': 'blue',
+            'Te': 'trailers',
+        },
+    ),
+}
 
 
 def _upstream(context, place):
@@ -308,3 +334,225 @@
     upstream = _upstream(context, place)
     assert upstream.cancelled == 1, upstream.cancelled
     assert upstream.tokens_sent < limit, upstream.tokens_sent
+
+
+@given('frontend without configuration')
+def start_unconfigured(context):
+    """Start the components only."""
+    context.world = World()
+    context.cleanups = [context.world.close]
+
+
+@given(
+    'frontend with a grace period of {grace_s:g} s and an upstream of "{name}"'
+)
+def start_with_grace(context, grace_s, name):
+    """Start the components with another setting."""
+    context.world = World(grace_s)
+    context.cleanups = [context.world.close]
+    context.world.configure()
+    context.world.add_upstream(name, 'near')
+
+
+@given('frontend is configured with {section} {field} {number:g}')
+def configure(context, section, field, number):
+    """Change one number of the configuration."""
+    context.world.document[section][field] = number
+    context.world.configure()
+
+
+@given('frontend upstream "{place}" is {state}')
+def set_state(context, place, state):
+    """Announce another state of an upstream."""
+    context.world.set_state(place, state)
+
+
+@given("frontend's claims service answers {verdict}")
+def order_verdict(context, verdict):
+    """Order a verdict or a failure."""
+    context.world.claims.verdict = verdict
+
+
+@given('frontend\'s claims service has the outcome "{body}" {detail}')
+@given('frontend\'s claims service has the outcome "" {detail}')
+def order_outcome(context, detail, body=''):
+    """Order a stored outcome."""
+    text = '' if detail == 'whole' else detail
+    context.world.claims.store(body.encode(), text)
+
+
+@given("frontend's claims service stores nothing")
+def order_no_store(context):
+    """Let records fail to become durable."""
+    context.world.claims.stores = False
+
+
+@given(
+    "frontend's process pauses for {pause_s:g} s in a claim, "
+    'and "{place}" leaves',
+)
+def order_pause(context, pause_s, place):
+    """Stop the whole process between the choice and the first byte."""
+    world = context.world
+    world.claims.block_s = pause_s
+    world.claims.then = lambda: world.set_state(place, 'leaving')
+
+
+@given('frontend holds {count:d} requests in flight')
+def hold(context, count):
+    """Send requests that their upstream answers when it is told to."""
+    world = context.world
+    for service in world.document['services'].values():
+        service['silent_s'] = 20
+        service['timeout_s'] = 20
+    world.configure()
+    _upstream(context, 'near').faults = ['hold'] * count
+    context.held = [
+        gevent.spawn(
+            world.ask,
+            'POST',
+            _LETTERS,
+            _BODY,
+            X_Priority='0',
+        )
+        for _ in range(count)
+    ]
+    context.cleanups.append(lambda: gevent.killall(context.held))
+    gevent.sleep(0.1)
+    in_flight = world.status(SERVICE_ROUTER)['requests_in_flight']
+    assert in_flight == count, in_flight
+
+
+@when("frontend's held requests end")
+def release_held(context):
+    """Let the upstream answer."""
+    _upstream(context, 'near').released.set()
+    gevent.joinall(context.held, timeout=5)
+
+
+@then('frontend answered all held requests')
+def check_held(context):
+    """Compare the answers to requests that were in progress."""
+    right = right_answer('POST', '/letters/held', _BODY)
+    for request in context.held:
+        heard = request.get(timeout=5)
+        assert heard.whole, heard.body
+        assert heard.document == right, heard.body
+
+
+@when(
+    'frontend receives a request of workspace {workspace:w} '
+    'and priority {priority}',
+)
+def ask_with_priority(context, workspace, priority):
+    """Send a request with the headers of admission."""
+    headers = {'X_Workspace': workspace}
+    if priority != '-':
+        headers['X_Priority'] = priority
+    context.heard = context.world.ask('POST', _LETTERS, _BODY, **headers)
+
+
+@when('frontend receives a request with {fault}')
+def ask_wrongly(context, fault):
+    """Send a request that differs in one respect."""
+    target, body, headers = _REQUESTS[fault]
+    context.heard = context.world.ask('POST', target, body, **headers)
+
+
+@then('frontend passed the headers on as they should be')
+def check_headers(context):
+    """Compare what the upstream and the caller received."""
+    request = _received(context)[0]
+    sent = request.headers
+    assert request.path == '/letters/a%20b?c=%2F&d', request.path
+    assert sent['X-Request-Id'].startswith('my-id-'), sent['X-Request-Id']
+    assert sent['X-Request-Id'].endswith('-1'), sent['X-Request-Id']
+    assert sent['X-Priority'] == '9', sent['X-Priority']
+    assert sent['X-Colour'] == 'blue', sent['X-Colour']
+    assert sent['Te'] is None, sent['Te']
+    assert sent['Host'] == _upstream(context, 'near').address, sent['Host']
+    assert context.heard.headers['X-Request-Id'] == 'my-id'
+
+
+@when("frontend's caller sends half of its body")
+def send_half(context):
+    """Leave a request unfinished."""
+    connection = context.world.open_raw(
+        b'POST /services/fees/letters/2 HTTP/1.1\r\nHost: a\r\n'
+        b'Content-Length: 10\r\n\r\nhalf',
+    )
+    context.cleanups.append(connection.close)
+    gevent.sleep(0.05)
+
+
+@then('frontend passed on status {status:d}')
+def check_passed_status(context, status):
+    """Compare the status alone."""
+    assert context.heard.status == status, context.heard.status
+
+
+@then('frontend asked for {count:d} claims')
+def check_claims(context, count):
+    """Count claims that were asked for."""
+    assert len(context.world.claims.asked) == count
+
+
+@when('frontend is stopped')
+def stop(context):
+    """Stop the kernel beside the test."""
+    context.stopping = gevent.spawn(context.world.kernel.stop)
+    gevent.sleep(0.05)
+
+
+@then('frontend has not stopped yet')
+def check_running(context):
+    """Guard against a stop that interrupts requests."""
+    assert not context.stopping.ready()
+
+
+@then('frontend has stopped')
+def check_stopped(context):
+    """Guard against a stop that never ends."""
+    context.stopping.join(timeout=5)
+    assert context.stopping.ready()
+
+
+@when('frontend is stopped while {count:d} callers send requests')
+def stop_under_load(context, count):
+    """Stop in the middle of a load."""
+    context.loads = [
+        gevent.spawn(_send_until_refused, context.world) for _ in range(count)
+    ]
+    gevent.sleep(0.3)
+    stop(context)
+    gevent.joinall(context.loads, timeout=8)
+
+
+def _send_until_refused(world):
+    answers = []
+    for _ in range(5000):
+        try:
+            heard = world.ask('POST', _LETTERS, _BODY)
+        except (ConnectionRefusedError, ConnectionResetError):
+            return answers
+        answers.append(heard)
+        if heard.kind == 'stopping':
+            return answers
+    return answers
+
+
+@then('frontend gave every caller whole answers until it refused')
+def check_load(context):
+    """Guard against answers that a stop cuts short."""
+    right = right_answer('POST', '/letters/held', _BODY)
+    answered = 0
+    for load in context.loads:
+        answers = [
+            heard for heard in load.get(timeout=1) if heard.kind != 'stopping'
+        ]
+        assert answers, 'no request was sent'
+        assert all(heard.document == right for heard in answers)
+        answered += len(answers)
+    # A connection that was never accepted is reset, but nothing ran for it.
+    runs = sum(upstream.runs for upstream in _upstreams(context))
+    assert runs == answered, (runs, answered)
--- a/tests/upstream_fake.py
+++ b/tests/upstream_fake.py
@@ -7,6 +7,7 @@
 from http.client import parse_headers
 
 from gevent import sleep, socket
+from gevent.event import Event
 from gevent.server import StreamServer
 
 FIRST_PORT = 28000
@@ -62,7 +63,8 @@
         self.runs = 0
         self.cancelled = 0
         self.connections = 0
-        self.owed = b''
+        self._owed = b''
+        self.released = Event()
         self.tokens_sent = 0
         self.token_pause_s = 0.005
         self._open = set()
@@ -123,8 +125,8 @@
 
     def _settle(self, connection):
         """Send what is left of an earlier answer on a connection."""
-        owed = self.owed
-        self.owed = b''
+        owed = self._owed
+        self._owed = b''
         if owed and self.connections == 1:
             connection.sendall(owed)
 
@@ -216,6 +218,11 @@
     return True
 
 
+def _held(upstream, request, body):
+    upstream.released.wait(SILENT_S)
+    return _right(upstream, request, body)
+
+
 def _crossed(upstream, request, _body):
     other = json.dumps({'method': 'GET', 'path': '/of-another'}).encode()
     upstream._send(request, 200, other, {'X-Request-Id': 'another-1'})
@@ -246,7 +253,7 @@
 def _repeated_half(upstream, request, body):
     answer = upstream.encode(request, 200, body)
     request.connection.sendall(answer + _HALF_ANSWER)
-    upstream.owed = _OTHER_HALF
+    upstream._owed = _OTHER_HALF
     return True
 
 
@@ -351,6 +358,7 @@
 
 _PLAIN_FAULTS = {
     'none': _right,
+    'hold': _held,
     'crossed': _crossed,
     'unnamed': _unnamed,
     'late': _late,
