Test an owner that declines and the spelling of looked-up keys

Cause: two single changes to the service passed all rows: a verdict not_owner that ends the request, and an owner that answers without being it. Change: a row in which the asker takes another host for the owner, and a look-up with the key in upper case. Seen failing first: with not_owner taken as the answer, the new row fails; with one attempt id for each try 6 rows fail, without closings and without retries in the background one row each.

--- a/tests/components/claims/hosts.feature
+++ b/tests/components/claims/hosts.feature
@@ -14,7 +14,7 @@
       | outcome is replayed         | h2 claims; h2 reports; h3 claims; h1 finds        | granted; stored; done booked; done booked |
       | not run is final            | h2 claims; h2 closes; h3 claims                   | granted; stored; not_run      |
       | same key, other request     | h2 claims a; h3 claims b                          | granted; reused               |
-      | spelling of the key         | h2 claims; the key upper; h3 claims               | granted; running              |
+      | spelling of the key         | h2 claims; the key upper; h3 claims; h3 finds | granted; running; running |
       | nothing is known            | h2 finds                                          | outcome_not_found             |
       | outcome without a claim     | h2 reports                                        | failed                        |
       | outcome by another host     | h2 claims; h3 reports                             | granted; failed               |
@@ -33,5 +33,6 @@
       | owner restarted                       | h2 claims; h1 restarts; h3 claims                             | granted; running                 |
       | outcome while the owner is away       | h2 claims; h1 stops; h2 reports; h2 lists h2 h3; h3 lists h2 h3; h2 recorded; h3 claims | granted; failed; done booked |
       | host lists differ                     | h2 lists h2; h2 claims; h3 claims; h2 reports; h3 claims      | granted; running; stored; running |
+      | owner by the list declines            | h2 leaves-to h3; h2 claims                                    | unavailable                      |
       | answer of the owner lost once         | h2 loses-answers 1; h2 claims; h3 claims                      | granted; running                 |
       | answers of the owner lost             | h2 loses-answers 99; h2 claims; h2 lists h1 h2 h3; h2 recorded; h3 claims | unavailable; not_run |
--- a/tests/steps/claims_hosts_steps.py
+++ b/tests/steps/claims_hosts_steps.py
@@ -112,6 +112,14 @@
         context.hosts[name].set_hosts(listed)
 
 
+def _leave_to(context, words):
+    """Let a host take another for the owner, which does not agree."""
+    leaving = hosts.host_record(words[0])
+    leaving.state = 'leaving'
+    listed = [leaving, hosts.host_record(words[2])]
+    context.hosts[words[0]].set_hosts(listed)
+
+
 def _lose_answers(context, words):
     """Put a relay before the owner that loses its first answers."""
     relay = hosts.start_relay(int(words[2]))
@@ -155,6 +163,7 @@
     'stops': _stop,
     'restarts': _restart,
     'lists': _list,
+    'leaves-to': _leave_to,
     'loses-answers': _lose_answers,
     'recorded': _recorded,
     'log': _switch_log,
