Wait for held requests to arrive before the overload test continues

Cause: a test run on a full machine failed once: after a fixed 0.1 s a held request had not reached the fake upstream yet, so the request under test took its fault and waited. Change: the step waits until the upstream has received all held requests. The checks are unchanged. Conclusion: a fault of the test, not of the frontend.

--- a/tests/steps/frontend_steps.py
+++ b/tests/steps/frontend_steps.py
@@ -418,7 +418,11 @@
         for _ in range(count)
     ]
     context.cleanups.append(lambda: gevent.killall(context.held))
-    gevent.sleep(0.1)
+    # A held request that has not arrived yet would leave its fault to the
+    # request under test, so all of them must have reached the upstream.
+    with gevent.Timeout(30):
+        while len(_upstream(context, 'near').received) < count:
+            gevent.sleep(0.01)
     in_flight = world.status(SERVICE_ROUTER)['requests_in_flight']
     assert in_flight == count, in_flight
 
