--- a/script/demo_run.py
+++ b/script/demo_run.py
@@ -26,11 +26,12 @@
 _TOKENS: Final = 16
 # Part of the orders that callers send again under the same key.
 _REPEAT_RATIO: Final = 0.2
-# The whole demo ends within 60 s, setup of the environment apart.
+# The whole demo ends within 60 s, setup of the environment apart, so the
+# rollout is given up after this time since the start.
+_GIVE_UP_S: Final = 52.0
 _READY_S: Final = 15.0
 _LOAD_S: Final = 50.0
 _BEFORE_S: Final = 4.0
-_ROLLOUT_S: Final = 30.0
 _AFTER_S: Final = 3.0
 _POLL_S: Final = 0.2
 _POLLS_PER_LINE: Final = 5
@@ -52,6 +53,7 @@
     if site not in plans.SITES:
         typer.echo(f'error=usage site={site} expected=karatsu,qalem', err=True)
         raise typer.Exit(2)
+    started_s = time.monotonic()
     model = plans.SITES[site].model
     old, new = [
         Weights(model, version, _SIZE_BYTES, _CHUNK_BYTES)
@@ -61,7 +63,7 @@
         start_cluster(cluster, old)
         load = Load(load_plan(cluster), _LOAD_S)
         gevent.sleep(_BEFORE_S)
-        rollout = run_rollout(cluster, load, new)
+        rollout = run_rollout(cluster, load, new, started_s + _GIVE_UP_S)
         gevent.sleep(_AFTER_S)
         report = load.finish()
         summary = summarise(cluster, rollout, report)
@@ -69,6 +71,7 @@
     for problem in report.problems:
         typer.echo(problem)
     typer.echo(figures.describe_load(report))
+    typer.echo(f'demo_s={time.monotonic() - started_s:.1f}')
     typer.echo(figures.line_of(summary))
     if summary['replicas'] < replicas_wanted or any(
         summary[name] for name in figures.MUST_BE_ZERO
@@ -137,8 +140,16 @@
     ]
 
 
-def run_rollout(cluster: Cluster, load: Load, new: Weights) -> Any:
-    """Start a rollout and follow it until every engine serves the version."""
+def run_rollout(
+    cluster: Cluster,
+    load: Load,
+    new: Weights,
+    gives_up_s: float,
+) -> figures.Rollout:
+    """Start a rollout and follow it until every engine serves the version.
+
+    Give up at gives_up_s on the monotonic clock.
+    """
     rollout = figures.Rollout(cluster.topology, cluster.versions)
     rollout.note_links(_counters(cluster, plans.LINKS_PORT))
     log_url = cluster.topology.platform_url(plans.LOG_PORT)
@@ -152,8 +163,8 @@
         f'--origin-url={origin_url}',
     )
     rollout.started_ms = _last_record_ms(log_url)
-    polls = int(_ROLLOUT_S / _POLL_S)
-    for poll in range(polls):
+    poll = 0
+    while time.monotonic() < gives_up_s:
         statuses = cluster.engine_statuses()
         rollout.note_engines(statuses, time.time())
         if poll % _POLLS_PER_LINE == 0 or rollout.complete():
@@ -162,6 +173,7 @@
         if rollout.complete():
             return rollout
         gevent.sleep(_POLL_S)
+        poll += 1
     return rollout
 
 
--- a/script/load.py
+++ b/script/load.py
@@ -34,6 +34,8 @@
 _PERCENTILE: Final = 95
 _DIGITS: Final = 3
 _TOKENS: Final = 16
+# Repeats come both before and after an outcome can be in the log.
+_REPEAT_WITHIN_S: Final = 2.0
 _EXECUTED_HEADER: Final = 'x-executed'
 
 
@@ -227,6 +229,7 @@
             call = next(makers)(caller_id)
             verdict = self._perform(call)
             if call.repeated and verdict == calls.RIGHT:
+                gevent.sleep(random.random() * _REPEAT_WITHIN_S)
                 self._perform(call.again())
             gevent.sleep(random.expovariate(1 / self._plan.pause_s))
 
