--- a/apricotpin/components/weights/plan.py
+++ b/apricotpin/components/weights/plan.py
@@ -3,7 +3,12 @@
 from typing import Final
 
 from apricotpin.components.weights.topology import Shape, Topology
-from apricotpin.const import HOST_LIVE, HOST_SWITCHING, ROLE_AGENT
+from apricotpin.const import (
+    HOST_LIVE,
+    HOST_SUSPECTED,
+    HOST_SWITCHING,
+    ROLE_AGENT,
+)
 from apricotpin.messages.document import (
     ConfigChanged,
     Document,
@@ -13,7 +18,9 @@
 from apricotpin.messages.hosts import Host
 from apricotpin.settings import Settings
 
-_SOURCE_STATES: Final = (HOST_LIVE, HOST_SWITCHING)
+# A suspected host keeps its place: its children notice a failed source by
+# themselves, and a change of the list moves every group of every stripe.
+_SOURCE_STATES: Final = (HOST_LIVE, HOST_SWITCHING, HOST_SUSPECTED)
 
 
 class Plan:
