Test agents with sockets beside engines and an origin

Cause: the decisions were tested, the services around them were not. Change: agents in one process with real sockets, stand-ins as processes: a rollout, a restart beside an engine that serves the version, a version larger than the memory, corrupt chunks, a busy origin, a newer version in mid-flight, and a plain upstream that registers neither service. Seen failing: with chunks always asked for row 2 fails, without the size check row 3, without the guard in setup the last row.

--- /dev/null
+++ b/tests/steps/weights_agents_steps.py
@@ -0,0 +1,122 @@
+"""Steps for agents of the weights and engine components with sockets."""
+
+import gevent
+from behave import given, then, when
+
+from apricotpin.components import engine, weights
+from apricotpin.core import Kernel
+from script.cluster import send_json
+from script.processes import wait_until
+from script.standins.contents import manifest_of
+from tests.weights_agents import (
+    CHUNK_BYTES,
+    ORIGIN,
+    READY_S,
+    SIZE_BYTES,
+    Agents,
+    settings_of,
+    weights_of,
+)
+
+ORIGIN_FAULTS = {
+    'none': {},
+    'one corrupt chunk': {'corrupt_chunks': 1},
+    'busy at first': {'busy': True},
+}
+BUSY_S = 1
+# A refused version must stay refused for this time.
+QUIET_S = 1
+
+
+@given('weights agents beside {count:d} engines that serve "{serves}"')
+def start_standins(context, count, serves):
+    """Start the origin and the engines."""
+    context.agents = Agents(count, serves)
+    context.cleanups = [context.agents.stop]
+
+
+@given('weights origin has the fault {fault}')
+def set_origin_fault(context, fault):
+    """Switch a fault of the origin."""
+    context.fault = fault
+    send_json('POST', f'http://{ORIGIN}/faults', ORIGIN_FAULTS[fault])
+
+
+@when('weights agents are ordered {versions} with {memory:d} bytes of memory')
+def order_versions(context, versions, memory):
+    """Order versions, the last of which is wanted."""
+    context.agents.order(versions.split(), memory)
+    if context.fault == 'busy at first':
+        gevent.sleep(BUSY_S)
+        send_json('POST', f'http://{ORIGIN}/faults', {'busy': False})
+
+
+@then('weights engines end with "{version}" and whole digests')
+def check_engines(context, version):
+    """Wait until every engine serves the version, and go on to."""
+    digest = manifest_of(weights_of(version))['digest']
+
+    def all_serve():
+        statuses = context.agents.statuses()
+        return all(status['digest'] == digest for status in statuses)
+
+    gevent.sleep(QUIET_S)
+    wait_until(all_serve, READY_S, f'all engines serve {version}')
+
+
+@then(
+    'weights origin has sent {copies:d} copies of v2 and one chunk for each '
+    'corrupt one'
+)
+def check_origin_copies(context, copies):
+    """Compare the bytes of v2 that the origin sent."""
+    counters = send_json('GET', f'http://{ORIGIN}/counters')
+    sent = counters['bytes_by_version'].get('model/v2', 0)
+    corrupt = _total(context, 'refusals_total{host="host-0",kind="chunk_c')
+    assert sent == copies * SIZE_BYTES + corrupt * CHUNK_BYTES, sent
+
+
+@then('weights agents count {counted} under "{metric}"')
+def check_counter(context, counted, metric):
+    """Add up a counter over all agents."""
+    total = _total(context, metric)
+    if counted == 'some':
+        assert total > 0, total
+    else:
+        assert total == int(counted), total
+
+
+def _total(context, metric):
+    return sum(
+        float(line.rpartition(' ')[2])
+        for line in context.agents.metrics()
+        if metric in line and not line.startswith('#')
+    )
+
+
+@given('weights settings of an agent with {url}')
+def prepare_settings(context, url):
+    """Keep settings with or without an engine."""
+    context.settings = settings_of(0, engine_url=url == 'an engine_url')
+
+
+@when('weights and engine components are set up')
+def set_up_components(context):
+    """Set up both components in a kernel."""
+    context.kernel = Kernel('test')
+    context.cleanups = [context.kernel.stop]
+    for component in (engine, weights):
+        component.setup(context.kernel, context.settings).unwrap()
+
+
+@then('weights services registered are "{services}"')
+def check_services(context, services):
+    """Compare the registered names."""
+    found = [name for name in ('engine', 'weights') if context.kernel.has(name)]
+    assert found == services.split(), found
+
+
+@then('weights services registered are ""')
+def check_no_services(context):
+    """Check that neither name is registered."""
+    check_services(context, '')
