--- a/apricotpin/commands/config.py
+++ b/apricotpin/commands/config.py
@@ -126,8 +126,8 @@
     Example: apricotpin config show --log-url http://127.0.0.1:32000
     """
     if bool(log_url) == bool(admin):
-        typer.echo('error=usage expected="--log-url or --admin"', err=True)
-        raise typer.Exit(EXIT_USAGE)
+        detail = 'expected="either --log-url or --admin"'
+        fail(Failure(ErrorKind.BAD_REQUEST, detail), EXIT_USAGE)
     if admin:
         fields = value_or_exit(_from_process(admin))
     else:
@@ -145,7 +145,9 @@
 
 def _load(base: pathlib.Path, overlay_options: list[str]) -> Bundle:
     files = BundleFiles.from_options(base, overlay_options)
-    return value_or_exit(files.and_then(load_bundle))
+    if files.is_err():
+        fail(files.err_value, EXIT_USAGE)
+    return value_or_exit(load_bundle(files.ok_value))
 
 
 def _from_log(log_url: str, site: str) -> dict[str, Any]:
--- a/apricotpin/commands/progress.py
+++ b/apricotpin/commands/progress.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from apricotpin.commands.survey import HostAnswer
+from apricotpin.errors import ErrorKind
 from apricotpin.messages.weights import WeightsStatus
 
 
@@ -61,12 +62,22 @@
     return groups
 
 
+def is_unreachable(answer: HostAnswer) -> bool:
+    """Tell whether an agent did not answer.
+
+    An agent beside a plain service answers that it has no weights.
+    """
+    if answer.outcome.is_ok():
+        return False
+    return ErrorKind.UNKNOWN_NAME.value not in answer.outcome.err_value.detail
+
+
 def unreachable_by_centre(answers: Iterable[HostAnswer]) -> dict[str, int]:
     """Return how many agents of each data centre did not answer."""
     found: dict[str, int] = {}
     for answer in answers:
         centre = answer.host.data_centre
-        found[centre] = found.get(centre, 0) + answer.outcome.is_err()
+        found[centre] = found.get(centre, 0) + is_unreachable(answer)
     return found
 
 
--- a/apricotpin/commands/rollout_status.py
+++ b/apricotpin/commands/rollout_status.py
@@ -12,6 +12,7 @@
 from apricotpin.commands.progress import (
     as_fields,
     group_answers,
+    is_unreachable,
     unreachable_by_centre,
 )
 from apricotpin.commands.survey import HostAnswer, ask_hosts, listed_hosts
@@ -84,7 +85,7 @@
     hosts = value_or_exit(listed_hosts(host_list_url))
     agents = [host for host in hosts if host.role == ROLE_AGENT]
     answers = ask_hosts(agents, 'weights_status', GetWeightsStatus())
-    if agents and all(answer.outcome.is_err() for answer in answers):
+    if agents and all(is_unreachable(answer) for answer in answers):
         cause = answers[0].outcome.err_value.detail
         detail = f'none of {len(agents)} agents answered: {cause}'
         fail(Failure(ErrorKind.PEER_UNAVAILABLE, detail))
--- a/tests/components/members/decisions.feature
+++ b/tests/components/members/decisions.feature
@@ -102,6 +102,20 @@
       | 3       | 3       | 6      |
       | 6       | 8       | 9      |
 
+  Scenario Outline: members suspects a host whose watchers died with it
+    # Guards against a dead host that stays live because no entry host that
+    # is left had received its heartbeats.
+    Given members of 1 data centres with <entries> entry hosts each
+    And members of an agent that sent heartbeats
+    When members of the agent and its receivers die together
+    Then members that are left suspect the agent within 14 rounds
+
+    Examples:
+      | entries |
+      | 3       |
+      | 4       |
+      | 9       |
+
   Scenario: members agrees with the naive version in a random world
     # Guards against entry hosts that disagree after partitions, pauses and
     # restarts have ended, and against a leaving host that comes back.
--- a/tests/steps/members_steps.py
+++ b/tests/steps/members_steps.py
@@ -151,6 +151,33 @@
     assert not unaware, unaware
 
 
+@given('members of an agent that sent heartbeats')
+def members_of_agent(context):
+    """Start an agent and let the entry hosts hear of it."""
+    context.world.add('a0-00', 'agent', 'dc0')
+    context.world.read_list('a0-00')
+    for _ in range(9):
+        context.world.step()
+
+
+@when('members of the agent and its receivers die together')
+def members_die(context):
+    """Kill the agent and the entry hosts that heard it directly."""
+    context.world.members['a0-00'].alive = False
+    for member in context.world.entries():
+        if member.table.rows['a0-00'].heard_s is not None:
+            member.alive = False
+
+
+@then('members that are left suspect the agent within {rounds:d} rounds')
+def members_suspect(context, rounds):
+    """Let time pass and look at the entry hosts that are left."""
+    for _ in range(rounds):
+        context.world.step()
+    states = {member.states()['a0-00'][1] for member in context.world.entries()}
+    assert states == {'suspected'}, states
+
+
 _NAMES = (
     *('e0-00', 'e0-01', 'e0-02', 'e1-00', 'e1-01', 'e1-02'),
     *('a0-00', 'a0-01', 'a1-00', 'a1-01'),
