--- a/apricotpin/components/members/const.py
+++ b/apricotpin/components/members/const.py
@@ -18,7 +18,7 @@
 HOST_LIST_PERIOD_S: Final = 1.0
 # Reading the whole list may use this much of the 16 KB/s for control, so
 # the period grows with the list; sync_hosts carries changes in between.
-HOST_LIST_BYTES_PER_S: Final = 6000
+HOST_LIST_BYTES_PER_S: Final = 4000
 # Reads are spread over this share of the period, on both sides of it.
 HOST_LIST_JITTER: Final = 0.1
 FIRST_PAUSE_S: Final = 0.5
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -9,24 +9,32 @@
 from apricotpin.errors import ErrorKind
 from apricotpin.helpers.http import HttpRequest, exchange
 from apricotpin.helpers.log_client import LogClient
+from apricotpin.helpers.peer_client import PeerClient
+from apricotpin.messages.hosts import GetReadiness
 from script.processes import ProcessGroup, wait_until
 
 TIMEOUT_S = 30
-_PORTS = range(32100, 34000)
+# Below the range from which the system takes ports for outgoing connections.
+_PORTS = range(32100, 32768)
 
 
 def free_ports(count):
-    """Return ports that nobody listens on, spread by process id."""
-    found = []
+    """Return ports that can be bound, spread by process id."""
     start = os.getpid() * 31 % len(_PORTS)
-    for port in (*_PORTS[start:], *_PORTS[:start]):
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            if probe.connect_ex(('127.0.0.1', port)) != 0:
-                found.append(port)
-        if len(found) == count:
-            return found
-    raise RuntimeError('no free ports')
+    ports = (*_PORTS[start:], *_PORTS[:start])
+    found = [port for port in ports if _is_free(port)]
+    assert len(found) >= count, 'no free ports'
+    return found[:count]
+
+
+def _is_free(port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(('127.0.0.1', port))
+        except OSError:
+            return False
+    return True
 
 
 def document(fleet):
@@ -115,6 +123,13 @@
         """Return one value of a status page."""
         return self.status(host_id).get(service, {}).get(name)
 
+    def readiness(self, address):
+        """Return the readiness that a process reports over thrift."""
+        client = PeerClient()
+        told = client.call(address, 'readiness', GetReadiness(), TIMEOUT_S)
+        client.close()
+        return told.unwrap()
+
     def get(self, url):
         """Return a JSON document, or None."""
         request = HttpRequest('GET', url)
@@ -144,3 +159,15 @@
     def wait(self, condition, description):
         """Wait for a condition, long enough for a busy machine."""
         wait_until(condition, TIMEOUT_S, description)
+
+    def wait_all(self, host_ids, condition):
+        """Wait until a condition holds for each process."""
+
+        def remaining():
+            return [each for each in host_ids if not condition(each)]
+
+        try:
+            self.wait(lambda: not remaining(), 'condition')
+        except TimeoutError as error:
+            pages = {each: self.status(each) for each in remaining()}
+            raise AssertionError(pages) from error
