Keep the log lines of agents under test out of the test output

Cause: kernels in the test process log to the runner's standard error. Change: the weights and engine loggers are off during these scenarios.

--- a/tests/weights_agents.py
+++ b/tests/weights_agents.py
@@ -4,6 +4,7 @@
 import tempfile
 
 import gevent
+from loguru import logger
 
 from apricotpin.components import admin, engine, metrics, peer_api, weights
 from apricotpin.const import SERVICE_METRICS
@@ -22,6 +23,7 @@
 SIZE_BYTES = 65536
 CHUNK_BYTES = 8192
 READY_S = 30
+QUIET_MODULES = ('engine', 'weights')
 COMPONENTS = (metrics, admin, peer_api, engine, weights)
 
 
@@ -58,6 +60,8 @@
     """Own the stand-ins and the kernels of a scenario."""
 
     def __init__(self, count, serves):
+        for module in QUIET_MODULES:
+            logger.disable(f'apricotpin.components.{module}')
         self.count = count
         self.kernels = []
         self._directory = tempfile.TemporaryDirectory()
@@ -108,6 +112,8 @@
             kernel.stop()
         self.group.stop()
         self._directory.cleanup()
+        for module in QUIET_MODULES:
+            logger.enable(f'apricotpin.components.{module}')
 
     def _start(self, name, address, *options):
         kind = name.partition('-')[0]
