Wait for heartbeats before an agent is killed in a test

Change: the members status shows how many hosts were heard of, and the scenario waits for it; what it demands afterwards is unchanged.

--- a/apricotpin/components/members/service.py
+++ b/apricotpin/components/members/service.py
@@ -169,6 +169,8 @@
             'incarnation': self._own.incarnation,
             'state': self._own.state,
             'change': self._table.change,
+            # Hosts whose own word is known, beside those only listed.
+            'heard': sum(bool(host.incarnation) for host in hosts),
             'hosts': collections.Counter(host.state for host in hosts),
         }
         reply.ok(ServiceStatus(names.SERVICE_MEMBERS, fields))
--- a/tests/components/members/processes.feature
+++ b/tests/components/members/processes.feature
@@ -7,6 +7,7 @@
     And configuration world with entry host "entry-1" and agent "agent-1"
     And configuration world starts entry host "entry-2"
     And members of "entry-1,entry-2" take "live" for 3 hosts
+    And members of "entry-1,entry-2" have heard of 3 hosts
     When members agent "agent-1" is ended by <signal>
     Then members of "entry-1,entry-2" take "<state>" for 1 hosts
 
--- a/tests/steps/control_steps.py
+++ b/tests/steps/control_steps.py
@@ -136,6 +136,16 @@
     context.control.set_fault('host-list', {'outage': True})
 
 
+@given('members of "{names}" have heard of {count:d} hosts')
+def have_heard(context, names, count):
+    """Wait until heartbeats arrived; a host only listed is not watched."""
+    world = context.control
+    world.wait_all(
+        names.split(','),
+        lambda host_id: world.field(host_id, 'members', 'heard') == count,
+    )
+
+
 @when('members agent "{host_id}" is ended by {signal}')
 def end_agent(context, host_id, signal):
     """End an agent."""
