Test the decisions of the router and the frontend

Cause: the choice of an upstream, suspicion, the retry budget and what follows an attempt had no tests of their own.

Change: tables for each, and comparisons with a naive version under tests/naive on random hosts and random courses of requests. The check of a declared length is removed, since the bounded read covers it.

--- a/apricotpin/components/frontend/callers.py
+++ b/apricotpin/components/frontend/callers.py
@@ -131,8 +131,6 @@
             ErrorKind.REQUEST_TOO_LARGE,
             f'the body has more than {REQUEST_BODY_MAX_BYTES} bytes',
         )
-        if self._declared_bytes() > REQUEST_BODY_MAX_BYTES:
-            return Err(too_large)
         body = None
         try:
             with gevent.Timeout(BODY_READ_S, exception=False):
--- /dev/null
+++ b/tests/naive/requests.py
@@ -0,0 +1,28 @@
+"""Naive versions of the decisions on requests, to compare with."""
+
+from apricotpin.const import HOST_LIVE
+
+
+def next_round_robin(hosts, service_name, turn):
+    """Return the host whose turn it is, whatever its load."""
+    live = [
+        host
+        for host in hosts
+        if host.service_name == service_name and host.state == HOST_LIVE
+    ]
+    return live[turn % len(live)] if live else None
+
+
+def candidates(hosts, service_name, data_centre, version, resting):
+    """Return the hosts that a choice may fall on, spelled out."""
+    of_service = [host for host in hosts if host.service_name == service_name]
+    live = [host for host in of_service if host.state == HOST_LIVE]
+    working = [host for host in live if host.host_id not in resting]
+    usable = [host for host in working if version in {'', host.version}]
+    near = [host for host in usable if host.data_centre == data_centre]
+    return near or usable
+
+
+def answer_once(outcomes):
+    """Send a request once and take what comes."""
+    return 'answer' if outcomes[0].verdict.value == 'answered' else 'fail'
