--- a/script/load.py
+++ b/script/load.py
@@ -224,25 +224,40 @@
         while time.monotonic() < self._ends_s:
             if not self._kernel.call(TALLY, Started()).unwrap():
                 return
-            entry = random.choice(self._plan.entries)
-            finished = perform(next(makers)(caller_id), entry)
-            self._kernel.call(TALLY, finished).unwrap()
+            call = next(makers)(caller_id)
+            verdict = self._perform(call)
+            if call.repeated and verdict == calls.RIGHT:
+                self._perform(call.again())
             gevent.sleep(random.expovariate(1 / self._plan.pause_s))
 
+    def _perform(self, call: calls.Call) -> str:
+        finished = perform(call, random.choice(self._plan.entries))
+        self._kernel.call(TALLY, finished).unwrap()
+        return finished.verdict
 
-def perform(call: calls.Call, entry: str) -> Finished:
-    """Send a call on a new connection and judge its answer."""
+
+def perform(
+    call: calls.Call,
+    entry: str,
+    silent_s: float = _ANSWER_TIMEOUT_S,
+) -> Finished:
+    """Send a call on a new connection and judge its answer.
+
+    An answer of which nothing arrives for silent_s counts as lost.
+    """
     address = Address.from_text(entry)
     client = HTTPClient(
         address.ip,
         address.port,
         connection_timeout=_CONNECT_TIMEOUT_S,
-        network_timeout=_ANSWER_TIMEOUT_S,
+        network_timeout=silent_s,
     )
     sent_s = time.monotonic()
     arrived_s: list[float] = []
     try:
         answer = _exchange(client, call, arrived_s)
+    except ConnectionRefusedError:
+        return Finished(call, calls.REFUSED, 'connection_refused')
     except Exception as error:
         # geventhttpclient raises several unrelated exception types.
         return Finished(call, calls.LOST, repr(error))
@@ -284,7 +299,7 @@
 
 def _lines(response: Any) -> Iterator[bytes]:
     if response.get('content-type', '').startswith('text/event-stream'):
-        while line := bytes(response.readline()):
+        while line := bytes(response.readline(b'\n')):
             yield line
     else:
         yield bytes(response.read())
--- a/script/standins/engine.py
+++ b/script/standins/engine.py
@@ -11,12 +11,12 @@
 from script.standins.engine_state import (
     ENGINE,
     Activate,
-    Admit,
     EngineService,
     GetCounters,
     GetStatus,
-    Release,
+    Order,
     StoreVersion,
+    handlers_of,
 )
 from script.standins.faults import (
     ANSWER_SWITCHES,
@@ -26,7 +26,7 @@
     register_faults,
 )
 from script.standins.generation import make_generate_page
-from script.standins.web import Answer, Request, ask, serve
+from script.standins.web import Answer, Request, Route, ask
 
 _SWITCHES: Final = {
     **ANSWER_SWITCHES,
@@ -37,29 +37,27 @@
 }
 
 
-def run(listen: str, service: EngineService, token_s: float) -> None:
-    """Serve until a signal; tokens of a stream are token_s seconds apart."""
-    kernel = Kernel(ENGINE)
-    routes = register_faults(kernel, _SWITCHES)
-    kernel.register(
-        ENGINE,
-        {
-            Admit: service.admit,
-            Release: service.release,
-            StoreVersion: service.store,
-            Activate: service.activate,
-            GetStatus: service.status,
-            GetCounters: service.counters,
-        },
-    )
-    routes += [
+def set_up(
+    kernel: Kernel,
+    service: EngineService,
+    token_s: float,
+    checks_fencing: bool,
+) -> list[Route]:
+    """Start the engine and return its routes.
+
+    Tokens of a stream are token_s seconds apart.
+    """
+    switches = {**_SWITCHES, 'checks_fencing': checks_fencing}
+    routes = register_faults(kernel, switches)
+    kernel.register(ENGINE, handlers_of(service))
+    return [
+        *routes,
         ('GET', '/status', _report_page(kernel, GetStatus())),
         ('GET', '/counters', _report_page(kernel, GetCounters())),
         ('PUT', '/models/([^/]+)/versions/([^/]+)', _version_page(kernel)),
         ('POST', '/models/([^/]+)/active', _active_page(kernel)),
         ('POST', '/generate', make_generate_page(kernel, token_s)),
     ]
-    serve(kernel, listen, routes)
 
 
 def _report_page(kernel: Kernel, message: Any) -> Callable[..., Answer]:
@@ -99,11 +97,12 @@
 
 
 def _carry_out(kernel: Kernel, order: StoreVersion | Activate) -> Answer:
-    remaining = current_faults(kernel)['ignore_orders']
+    faults = current_faults(kernel)
+    remaining = faults['ignore_orders']
     if remaining:
         ask(kernel, FAULTS, SetFaults({'ignore_orders': remaining - 1}))
         return Answer.with_json({})
-    outcome = kernel.call(ENGINE, order)
+    outcome = kernel.call(ENGINE, Order(order, faults['checks_fencing']))
     if outcome.is_ok():
         return Answer.with_json(outcome.ok_value)
     return Answer.with_error(HTTPStatus.CONFLICT, outcome.err_value.detail)
