Close a hole in claims, wait for running keys and use suspected hosts last

Change: the fold ignores a document that changes claim_partitions; the frontend asks again for up to 1 s while a key is running; a suspected host is the last choice; source address, read limit and TCP_NODELAY are set.

--- a/apricotpin/commands/publishing.py
+++ b/apricotpin/commands/publishing.py
@@ -173,6 +173,9 @@
 ) -> Result[int, Failure]:
     if step.verdict == const.VERDICT_ACCEPTED:
         return Ok(record.offset)
+    if step.verdict == const.VERDICT_INVALID:
+        detail = 'path=claims.claim_partitions expected="no change"'
+        return Err(Failure(ErrorKind.CONFIG_INVALID, detail))
     based_on = record.value['based_on']
     in_force = step.state.accepted_offset
     detail = (
--- a/apricotpin/components/claims/__init__.py
+++ b/apricotpin/components/claims/__init__.py
@@ -69,7 +69,13 @@
         kernel,
         ownership,
         owner,
-        Exchange(kernel, ownership, owner, pause_s),
+        Exchange(
+            kernel,
+            ownership,
+            owner,
+            pause_s,
+            settings.peer_listen.ip,
+        ),
         lambda: secrets.token_hex(const.ATTEMPT_ID_BYTES),
     )
 
--- a/apricotpin/components/claims/exchange.py
+++ b/apricotpin/components/claims/exchange.py
@@ -33,6 +33,7 @@
         '_owner',
         '_ownership',
         '_pause_s',
+        '_source_ip',
         'table',
     )
 
@@ -42,7 +43,9 @@
         ownership: Ownership,
         owner: Owner,
         pause_s: Callable[[int], float],
+        source_ip: str,
     ) -> None:
+        self._source_ip = source_ip
         self._kernel = kernel
         self._ownership = ownership
         self._owner = owner
@@ -176,7 +179,9 @@
         self._kernel.spawn(
             workers.forward,
             self._kernel,
-            self._clients.pop() if self._clients else PeerClient(),
+            self._clients.pop()
+            if self._clients
+            else PeerClient(self._source_ip),
             workers.PeerCall(
                 request.ask_id,
                 address,
--- a/apricotpin/components/claims/workers.py
+++ b/apricotpin/components/claims/workers.py
@@ -123,7 +123,7 @@
 def replay(task: LogTask, ask_id: int, offset: int) -> None:
     """Read a stored outcome and answer with it."""
     count(task.kernel, 'log_reads_total')
-    answer = _replayed(task.log.read(task.stream, offset), offset)
+    answer = _replayed(task.log.read(task.stream, offset, limit=1), offset)
     deliver(task.kernel, Answered(ask_id, answer))
 
 
--- a/apricotpin/components/configuration/bundle.py
+++ b/apricotpin/components/configuration/bundle.py
@@ -74,6 +74,17 @@
     return merged_for_site(bundle, site).and_then(_checked_document)
 
 
+def claim_partitions_of(bundle: Bundle) -> dict[str, int]:
+    """Return the number of claim partitions of each site.
+
+    Without any overlay the base's number stands under an empty name.
+    """
+    return {
+        site: document_for_site(bundle, site).unwrap().claims.claim_partitions
+        for site in bundle.overlays or ('',)
+    }
+
+
 def check_sites(bundle: Bundle) -> Result[Bundle, Failure]:
     """Check the document of every site; the failure names the site."""
     if not isinstance(bundle.base, dict):
--- a/apricotpin/components/configuration/decisions.py
+++ b/apricotpin/components/configuration/decisions.py
@@ -5,7 +5,10 @@
 from result import Err, Result
 
 from apricotpin.components.configuration import const
-from apricotpin.components.configuration.bundle import Bundle
+from apricotpin.components.configuration.bundle import (
+    Bundle,
+    claim_partitions_of,
+)
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.log_client import LogPage, LogRecord
 from apricotpin.messages.configuration import ConfigState
@@ -60,6 +63,8 @@
     bundle = Bundle.from_config(record.value)
     if bundle.is_err():
         return FoldStep(skipped, const.VERDICT_INVALID)
+    if moves_claims(state, bundle.ok_value):
+        return FoldStep(skipped, const.VERDICT_INVALID)
     accepted = FoldState(record.offset + 1, record.offset, bundle.ok_value)
     return FoldStep(accepted, const.VERDICT_ACCEPTED)
 
@@ -95,6 +100,21 @@
     )
 
 
+def moves_claims(state: FoldState, bundle: Bundle) -> bool:
+    """Tell whether a bundle would move keys to other claim streams.
+
+    A host that starts with another number of partitions looks for a claimed
+    key in another stream and could grant the key a second time.
+    """
+    if state.bundle is None:
+        return False
+    before = claim_partitions_of(state.bundle)
+    after = claim_partitions_of(bundle)
+    return any(
+        before.get(site, count) != count for site, count in after.items()
+    )
+
+
 def state_from_checkpoint(fields: Any) -> Result[FoldState, Failure]:
     """Build a state from the value of a checkpoint record."""
     folded = _field(fields, 'folded')
--- a/apricotpin/components/frontend/const.py
+++ b/apricotpin/components/frontend/const.py
@@ -52,6 +52,10 @@
 # reach it leaves later repeats of the key with an unknown outcome.
 REPORT_TRIES: Final = 50
 REPORT_PAUSE_S: Final = 0.1
+# A repeat of a running key waits for the outcome: batches of outcomes are
+# appended at least every 0.25 s, so most are known well within this time.
+RUNNING_WAIT_S: Final = 1.0
+RUNNING_PAUSE_S: Final = 0.2
 # More than two messages for each connection, as in the router.
 FRONTEND_MAILBOX_SIZE: Final = 16384
 
--- a/apricotpin/components/frontend/keyed.py
+++ b/apricotpin/components/frontend/keyed.py
@@ -1,5 +1,7 @@
 """Requests that may run at most once."""
 
+import time
+
 import gevent
 from loguru import logger
 from result import Err, Ok, Result
@@ -11,6 +13,8 @@
     OUTCOME_LOOKUP_S,
     REPORT_PAUSE_S,
     REPORT_TRIES,
+    RUNNING_PAUSE_S,
+    RUNNING_WAIT_S,
 )
 from apricotpin.components.frontend.job import Job
 from apricotpin.components.frontend.verdicts import Verdict
@@ -29,6 +33,7 @@
     RequestClaim,
 )
 from apricotpin.messages.routing import Chosen
+from apricotpin.messages.verdicts import RUNNING
 
 
 def run_once(job: Job, host_id: str) -> Result[CallerAnswer, Failure]:
@@ -40,7 +45,7 @@
     chosen = choose(job)
     if chosen.is_err():
         return chosen
-    claimed = _claim(job, host_id)
+    claimed = _settled_claim(job, host_id)
     if claimed.is_err():
         return claimed
     stored = answers.stored_answer(claimed.ok_value)
@@ -70,6 +75,22 @@
     return Err(Failure(kind or ErrorKind.OUTCOME_UNKNOWN, found.detail))
 
 
+def _settled_claim(job: Job, host_id: str) -> Result[ClaimAnswer, Failure]:
+    """Claim the key; wait for an outcome that another attempt is to record.
+
+    A caller that repeats a key at once would otherwise be told that the
+    outcome is unknown while its record is on the way to the log.
+    """
+    ends_s = time.monotonic() + RUNNING_WAIT_S
+    while True:
+        claimed = _claim(job, host_id)
+        if claimed.is_err() or claimed.ok_value.verdict != RUNNING:
+            return claimed
+        if time.monotonic() + RUNNING_PAUSE_S > ends_s:
+            return claimed
+        gevent.sleep(RUNNING_PAUSE_S)
+
+
 def _claim(job: Job, host_id: str) -> Result[ClaimAnswer, Failure]:
     caller = job.caller
     method, target = caller.method.encode(), caller.target().encode()
--- a/apricotpin/components/router/decisions.py
+++ b/apricotpin/components/router/decisions.py
@@ -1,15 +1,20 @@
 """Admission, choice of an upstream, suspicion and the retry budget."""
 
 from collections.abc import Callable, Mapping, Sequence
+from typing import Final
 
 from apricotpin.components.router.const import (
     PROBE_WAIT_S,
     RETRY_BUDGET_RESERVE,
 )
-from apricotpin.const import HOST_LIVE
+from apricotpin.const import HOST_LIVE, HOST_SUSPECTED
 from apricotpin.messages.document import LimitsConfig
 from apricotpin.messages.hosts import Host
 
+# A suspected host missed heartbeats of its agent, which says little about the
+# upstream beside it, so it stays usable after all others.
+_USABLE_STATES: Final = frozenset((HOST_LIVE, HOST_SUSPECTED))
+
 # Returns a number from 0 up to, but not including, its argument.
 Draw = Callable[[int], int]
 
@@ -110,7 +115,7 @@
     """Tell whether a host may receive new work of this kind."""
     if host.service_name != wanted.service_name or not host.upstream_address:
         return False
-    if host.state != HOST_LIVE:
+    if host.state not in _USABLE_STATES:
         return False
     if wanted.version and host.version != wanted.version:
         return False
@@ -163,11 +168,12 @@
     return load.in_flight.get(host_id, 0) > 0
 
 
-def _tier(host: Host, wanted: Wanted) -> tuple[bool, bool, bool]:
+def _tier(host: Host, wanted: Wanted) -> tuple[bool, bool, bool, bool]:
     # An engine that has confirmed no version yet is likely to refuse.
     unconfirmed = wanted.is_model and not host.version
     return (
         host.host_id in wanted.tried,
         unconfirmed,
+        host.state == HOST_SUSPECTED,
         host.data_centre != wanted.data_centre,
     )
--- a/apricotpin/helpers/listeners.py
+++ b/apricotpin/helpers/listeners.py
@@ -15,6 +15,9 @@
     """Bind and listen; the failure names the address that is taken."""
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted sockets inherit this; without it a stream's small chunks wait
+    # for the acknowledgement of the one before.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     try:
         listener.bind(address.as_tuple())
     except OSError as error:
--- a/apricotpin/helpers/log_client.py
+++ b/apricotpin/helpers/log_client.py
@@ -77,9 +77,10 @@
         stream: str,
         from_offset: int,
         wait_ms: int = 0,
+        limit: int = _READ_LIMIT,
     ) -> Result[LogPage, Failure]:
         """Read records from an offset on, waiting up to wait_ms for one."""
-        query = f'from={from_offset}&limit={_READ_LIMIT}&wait_ms={wait_ms}'
+        query = f'from={from_offset}&limit={limit}&wait_ms={wait_ms}'
         request = HttpRequest(
             'GET',
             f'{self._log_url}/streams/{stream}/records?{query}',
--- a/tests/components/configuration/decisions.feature
+++ b/tests/components/configuration/decisions.feature
@@ -18,6 +18,8 @@
       | 4        | -1       | valid content    | conflict   |
       | 4        | 4        | no services      | invalid    |
       | 4        | 4        | unknown model    | invalid    |
+      | -1       | -1       | other partitions | accepted   |
+      | 4        | 4        | other partitions | invalid    |
       | 4        | 4        | invalid overlay  | invalid    |
       | 4        | 4        | overlay as list  | invalid    |
       | 4        | 4        | base as text     | invalid    |
--- a/tests/steps/configuration_steps.py
+++ b/tests/steps/configuration_steps.py
@@ -65,12 +65,15 @@
 def _record_values(based_on):
     wrong_model = document('new')
     wrong_model['models'] = {}
+    other_partitions = document('new')
+    other_partitions['claims'] = {'claim_partitions': 8}
     valid = _publish(based_on, document('new'))
     return {
         'valid content': valid,
         'old record again': valid,
         'no services': _publish(based_on, {'fleet': 'new'}),
         'unknown model': _publish(based_on, wrong_model),
+        'other partitions': _publish(based_on, other_partitions),
         'invalid overlay': _publish(
             based_on, document('new'), {'genkai': {'services': None}}
         ),
--- a/tests/steps/frontend_steps.py
+++ b/tests/steps/frontend_steps.py
@@ -432,6 +432,10 @@
     """Let the upstream answer."""
     _upstream(context, 'near').released.set()
     gevent.joinall(context.held, timeout=5)
+    # The router hears of an end after the caller has its answer.
+    with gevent.Timeout(30):
+        while context.world.status(SERVICE_ROUTER)['requests_in_flight']:
+            gevent.sleep(0.01)
 
 
 @then('frontend answered all held requests')
