Stop the process of a frontend scenario only once

Cause: the cleanup of scenarios that stop the process stopped it again and waited the whole grace period for services that had ended.

Change: the cleanup leaves a stopped process alone.

Conclusion: the scenarios check the same things as before.

--- a/tests/frontend_world.py
+++ b/tests/frontend_world.py
@@ -214,7 +214,9 @@
         """End everything."""
         for upstream in self.upstreams.values():
             upstream.close()
-        self.kernel.stop()
+        # A second stop would wait for services that have ended.
+        if not self.kernel.stopping:
+            self.kernel.stop()
 
     def configure(self):
         """Publish the configuration."""
