--- a/tests/frontend_world.py
+++ b/tests/frontend_world.py
@@ -174,7 +174,7 @@
 class World:
     """Own the kernel, the fakes and the upstreams of a scenario."""
 
-    def __init__(self, grace_s=20):
+    def __init__(self, grace_s=1):
         self.kernel = Kernel('tests')
         self.claims = FakeClaims()
         self.metrics = FakeMetrics()
@@ -214,7 +214,9 @@
         """End everything."""
         for upstream in self.upstreams.values():
             upstream.close()
-        self.kernel.stop()
+        # A second stop would wait for services that have ended.
+        if not self.kernel.stopping:
+            self.kernel.stop()
 
     def configure(self):
         """Publish the configuration."""
--- a/tests/steps/frontend_steps.py
+++ b/tests/steps/frontend_steps.py
@@ -417,7 +417,7 @@
         )
         for _ in range(count)
     ]
-    context.cleanups.append(lambda: gevent.killall(context.held))
+    context.cleanups.append(lambda: release_held(context))
     # A held request that has not arrived yet would leave its fault to the
     # request under test, so all of them must have reached the upstream.
     with gevent.Timeout(30):
