--- a/tests/components/frontend/overload.feature
+++ b/tests/components/frontend/overload.feature
@@ -33,6 +33,7 @@
     Given frontend with upstreams "near" of "fees"
     And frontend holds 20 requests in flight
     When frontend's held requests end
+    And frontend has no request in flight
     And frontend receives a request of workspace any and priority 9
     Then frontend answers ok, executed -, repeat -
     And frontend answered all held requests
--- a/tests/steps/frontend_steps.py
+++ b/tests/steps/frontend_steps.py
@@ -427,15 +427,19 @@
     assert in_flight == count, in_flight
 
 
+@when('frontend has no request in flight')
+def wait_for_ends(context):
+    """Wait for the router, which hears of an end after the caller does."""
+    with gevent.Timeout(30):
+        while context.world.status(SERVICE_ROUTER)['requests_in_flight']:
+            gevent.sleep(0.01)
+
+
 @when("frontend's held requests end")
 def release_held(context):
     """Let the upstream answer."""
     _upstream(context, 'near').released.set()
     gevent.joinall(context.held, timeout=5)
-    # The router hears of an end after the caller has its answer.
-    with gevent.Timeout(30):
-        while context.world.status(SERVICE_ROUTER)['requests_in_flight']:
-            gevent.sleep(0.01)
 
 
 @then('frontend answered all held requests')
