--- /dev/null
+++ b/script/make_docs.py
@@ -0,0 +1,111 @@
+"""Write docs/errors.md and docs/metrics.md from the tables in the code.
+
+.venv/bin/python -m script.make_docs [--check]
+"""
+
+import pathlib
+import sys
+from typing import Final
+
+import typer
+
+from apricotpin.components.metrics.const import METRICS
+from apricotpin.errors import ANSWERS
+
+DOCS: Final = pathlib.Path(__file__).parent.parent / 'docs'
+
+# What each kind that reaches callers means.
+MEANINGS: Final = (
+    ('bad_request', 'the request is malformed'),
+    ('request_too_large', 'the body is larger than an entry host accepts'),
+    ('unknown_service', 'no service of this name is configured'),
+    ('key_required', 'a non-idempotent request came without a key'),
+    ('key_invalid', 'the key is not a UUID version 7 of the present time'),
+    ('key_expired', 'the key is older than its lifetime'),
+    ('key_reused', 'the key names another request'),
+    ('outcome_not_found', 'nothing is known of this key'),
+    ('outcome_not_stored', 'the action ran; its answer was not stored'),
+    ('not_run', 'the action did not run, and its key is closed'),
+    ('outcome_unknown', 'the action may have run; ask again for the outcome'),
+    ('claims_unavailable', 'the log or the owner of the key does not answer'),
+    ('overloaded', 'the entry host is at its limit for this priority'),
+    ('no_upstream', 'no upstream of the service can take the request'),
+    ('upstream_failed', 'the upstream broke off its answer'),
+    ('answer_too_large', 'the answer is larger than an entry host passes on'),
+    ('retry_budget_empty', 'too many requests fail for another retry'),
+    ('stopping', 'this entry host is stopping'),
+    ('not_ready', 'this entry host knows no configuration yet'),
+    ('timeout', 'the service did not answer in time'),
+    ('mailbox_full', 'a queue inside the entry host is full'),
+)
+
+
+def errors_page() -> str:
+    """Return the table of error kinds that reach callers."""
+    meanings = dict(MEANINGS)
+    rows = [
+        f'| `{kind.value}` | {meanings[kind.value]} '
+        f'| {int(answer.http_status)} '
+        f'| {answer.executed.value} | {answer.repeat.value} |'
+        for kind, answer in ANSWERS.items()
+    ]
+    head = [
+        '# Errors',
+        '',
+        'Made from `apricotpin/errors.py` by `script/make_docs.py`.',
+        '',
+        'An error is JSON with `error`, `detail`, `repeat` and `executed`, and',
+        'the headers `X-Error-Kind` and `X-Executed`. `repeat` says whether',
+        'the caller may send the request again: `yes`, with the `same_key`, only',
+        'with a `new_key`, or `no`. `executed` says whether the upstream ran',
+        'it: `no` is said only when that is known. A request with a key that',
+        'was refused before its claim reports `unknown` and `same_key`, since',
+        'another entry host may hold a repeat of the key.',
+        '',
+        '| kind | meaning | status | executed | repeat |',
+        '| --- | --- | --- | --- | --- |',
+    ]
+    return '\n'.join([*head, *rows, ''])
+
+
+def metrics_page() -> str:
+    """Return the table of metrics."""
+    rows = [
+        f'| `apricotpin_{metric.name}` | {metric.kind} '
+        f'| {metric.label or "–"} | {metric.description} |'
+        for metric in METRICS
+    ]
+    head = [
+        '# Metrics',
+        '',
+        'Made from `apricotpin/components/metrics/const.py` by',
+        '`script/make_docs.py`. Every metric carries `host`, `role` and',
+        '`region`. A suffix names the unit: `_s` seconds, `_bytes` bytes,',
+        '`_total` a count. Values of `kind` are the error kinds of',
+        '`apricotpin/errors.py`; values of `reason` are error kinds too, or',
+        'the verdicts on attempts in',
+        '`apricotpin/components/frontend/verdicts.py`.',
+        '',
+        '| metric | type | label | meaning |',
+        '| --- | --- | --- | --- |',
+    ]
+    return '\n'.join([*head, *rows, ''])
+
+
+def main(check: bool = False) -> None:
+    """Write the pages, or with --check fail if one is out of date."""
+    stale = []
+    pages = {'errors.md': errors_page(), 'metrics.md': metrics_page()}
+    for name, text in pages.items():
+        path = DOCS / name
+        if check and (not path.exists() or path.read_text() != text):
+            stale.append(name)
+        elif not check:
+            path.write_text(text)
+    if stale:
+        typer.echo(f'out of date: {",".join(stale)}', err=True)
+        sys.exit(1)
+
+
+if __name__ == '__main__':
+    typer.run(main)
