Name peer workers, leave notices and worker pools by the field's terms

Cause: Lane, Farewell and Crew in components/members and components/weights were figures of speech. Change: PeerWorker, LeaveNotice and WorkerPool, with their modules. Conclusion: names only; behaviour is as before.

--- a/apricotpin/components/members/__init__.py
+++ b/apricotpin/components/members/__init__.py
@@ -3,9 +3,9 @@
 from result import Ok, Result
 
 from apricotpin.components.members import const
-from apricotpin.components.members.farewell import Farewell
 from apricotpin.components.members.host_list import follow_host_list
-from apricotpin.components.members.service import Lanes, MembersService
+from apricotpin.components.members.leave_notice import LeaveNotice
+from apricotpin.components.members.service import MembersService, PeerWorkers
 from apricotpin.const import SERVICE_MEMBERS
 from apricotpin.core import Kernel, Reply, Started, Stopping
 from apricotpin.errors import Failure
@@ -24,14 +24,14 @@
 
 def setup(kernel: Kernel, settings: Settings) -> Result[None, Failure]:
     """Register the members service."""
-    lanes = Lanes()
-    farewell = Farewell()
-    service = MembersService(kernel, settings, lanes, farewell)
+    workers = PeerWorkers()
+    leave_notice = LeaveNotice()
+    service = MembersService(kernel, settings, workers, leave_notice)
 
     def start(_message: Started, _reply: Reply) -> None:
         source_ip = settings.peer_listen.ip
-        for lane in lanes.heartbeats + lanes.pulls:
-            kernel.spawn(lane.run, kernel, source_ip)
+        for worker in workers.heartbeats + workers.pulls:
+            kernel.spawn(worker.run, kernel, source_ip)
         kernel.spawn(follow_host_list, kernel, settings.host_list_url)
         kernel.every(SERVICE_MEMBERS, MembersTick(), const.HEARTBEAT_PERIOD_S)
         kernel.every(SERVICE_MEMBERS, HostsTick(), const.HOSTS_PERIOD_S)
@@ -51,6 +51,6 @@
             GetServiceStatus: service.report,
             Stopping: service.leave,
         },
-        on_stop=lambda: farewell.wait(const.FAREWELL_S),
+        on_stop=lambda: leave_notice.wait(const.LEAVE_NOTICE_S),
     )
     return Ok(None)
--- a/apricotpin/components/members/const.py
+++ b/apricotpin/components/members/const.py
@@ -38,9 +38,9 @@
 SYNC_BUCKETS: Final = 64
 # Position of a process that has not pulled all hosts of a peer yet.
 NO_POSITION: Final = -1
-# Every fourth pull of the second lane goes to another data centre.
+# Every fourth pull of the second worker goes to another data centre.
 CROSS_PULL_EVERY: Final = 4
 # Time that a stopping process waits for peers to hear that it leaves.
-FAREWELL_S: Final = 1.5
+LEAVE_NOTICE_S: Final = 1.5
 
 NS_PER_MS: Final = 1000000
--- a/apricotpin/components/members/farewell.py
+++ b/apricotpin/components/members/leave_notice.py
@@ -7,7 +7,7 @@
 from apricotpin.messages.members import PeerExchange
 
 
-class Farewell:
+class LeaveNotice:
     """Count the heartbeats that still have to report leaving."""
 
     __slots__ = ('_finished', '_waiting_for')
--- a/apricotpin/components/members/orders.py
+++ b/apricotpin/components/members/orders.py
@@ -142,8 +142,8 @@
 ) -> list[Host]:
     entries = _reachable(live_entry_hosts(known), rounds, now_s)
     chosen = {}
-    for lane in range(const.HEARTBEAT_TARGETS):
-        partner = plan.pull_partner(own, entries, lane, rounds.number)
+    for worker in range(const.HEARTBEAT_TARGETS):
+        partner = plan.pull_partner(own, entries, worker, rounds.number)
         if partner is not None:
             chosen[partner.host_id] = partner
     if chosen:
--- a/apricotpin/components/members/lanes.py
+++ b/apricotpin/components/members/peer_workers.py
@@ -13,7 +13,7 @@
 from apricotpin.messages.members import PeerAnswered, PeerExchange
 
 
-class Lane:
+class PeerWorker:
     """Hold the next order of one worker."""
 
     __slots__ = ('_orders',)
--- a/apricotpin/components/members/plan.py
+++ b/apricotpin/components/members/plan.py
@@ -34,13 +34,13 @@
 def pull_partner(
     own: Host,
     entries: Iterable[Host],
-    lane: int,
+    worker: int,
     round_number: int,
 ) -> Host | None:
     """Return the entry host that an entry host pulls from in this round.
 
-    The hosts of a data centre form a ring, and both lanes jump by rotating
-    powers of two, so a change reaches n hosts in about log2(n) rounds. Lane 1
+    The hosts of a data centre form a ring, and both workers jump by rotating
+    powers of two, so a change reaches n hosts in about log2(n) rounds. Worker 1
     pulls from another data centre now and then.
     """
     centres = _by_data_centre(own, entries)
@@ -48,8 +48,8 @@
     # Entry hosts that started together do not all cross in the same round.
     phase = rank_of(own.host_id) % const.CROSS_PULL_EVERY
     crosses = (round_number + phase) % const.CROSS_PULL_EVERY == 0
-    if len(ring) > 1 and (lane == 0 or not crosses):
-        half = lane * _powers(len(ring)) // 2
+    if len(ring) > 1 and (worker == 0 or not crosses):
+        half = worker * _powers(len(ring)) // 2
         return _jump(ring, own.host_id, round_number + half)
     return _remote_partner(own, centres, round_number)
 
--- a/apricotpin/components/members/service.py
+++ b/apricotpin/components/members/service.py
@@ -13,8 +13,8 @@
     syncing,
     table,
 )
-from apricotpin.components.members.farewell import Farewell
-from apricotpin.components.members.lanes import Lane
+from apricotpin.components.members.leave_notice import LeaveNotice
+from apricotpin.components.members.peer_workers import PeerWorker
 from apricotpin.core import Kernel, Reply, Stopping
 from apricotpin.helpers.metrics import count, count_retry, set_gauge
 from apricotpin.messages.admin import GetServiceStatus, ServiceStatus
@@ -41,14 +41,14 @@
 from apricotpin.settings import Settings
 
 
-class Lanes:
-    """Hold the lanes for heartbeats and those for pulls."""
+class PeerWorkers:
+    """Hold the workers for heartbeats and those for pulls."""
 
     __slots__ = ('heartbeats', 'pulls')
 
     def __init__(self) -> None:
-        self.heartbeats = [Lane() for _ in range(const.HEARTBEAT_TARGETS)]
-        self.pulls = [Lane() for _ in range(const.HEARTBEAT_TARGETS)]
+        self.heartbeats = [PeerWorker() for _ in range(const.HEARTBEAT_TARGETS)]
+        self.pulls = [PeerWorker() for _ in range(const.HEARTBEAT_TARGETS)]
 
 
 class MembersService:
@@ -56,10 +56,10 @@
 
     __slots__ = (
         '_announced',
-        '_farewell',
+        '_leave_notice',
         '_folded',
         '_kernel',
-        '_lanes',
+        '_workers',
         '_list_read_s',
         '_own',
         '_rounds',
@@ -70,13 +70,13 @@
         self,
         kernel: Kernel,
         settings: Settings,
-        lanes: Lanes,
-        farewell: Farewell,
+        workers: PeerWorkers,
+        leave_notice: LeaveNotice,
     ) -> None:
         started_ms = time.time_ns() // const.NS_PER_MS
         self._kernel = kernel
-        self._lanes = lanes
-        self._farewell = farewell
+        self._workers = workers
+        self._leave_notice = leave_notice
         self._table = table.Table(started_ms, time.monotonic())
         self._rounds = orders.Rounds(settings.seed_peers)
         self._own = own_host.first_record(settings, started_ms)
@@ -109,7 +109,7 @@
     def take_answer(self, message: PeerAnswered, _reply: Reply) -> None:
         """Take over the outcome of a heartbeat or a pull."""
         address = message.exchange.address
-        self._farewell.note_answer(message.exchange)
+        self._leave_notice.note_answer(message.exchange)
         if message.outcome.is_err():
             count_retry(self._kernel, message.outcome.err_value.kind.value)
             orders.note_failed(self._rounds, address, time.monotonic())
@@ -151,7 +151,7 @@
             self._rounds,
             now_s,
         )
-        _offer(self._lanes.pulls, pulls)
+        _offer(self._workers.pulls, pulls)
 
     def announce(self, _message: HostsTick, _reply: Reply) -> None:
         """Publish the hosts if something changed since the last time."""
@@ -179,7 +179,7 @@
         """Report leaving at once."""
         leaving = table.copy_host(self._own, state=names.HOST_LEAVING)
         self._set_own(leaving)
-        self._farewell.expect(self._send_heartbeats())
+        self._leave_notice.expect(self._send_heartbeats())
 
     def _take_changes(self, address: str, changes: HostChanges) -> None:
         orders.note_pulled(self._rounds, address, changes)
@@ -210,7 +210,7 @@
             self._rounds,
             time.monotonic(),
         )
-        _offer(self._lanes.heartbeats, heartbeats)
+        _offer(self._workers.heartbeats, heartbeats)
         return heartbeats
 
     def _set_gauges(self, hosts: list[Host]) -> None:
@@ -219,6 +219,6 @@
             set_gauge(self._kernel, 'hosts_known', by_state[state], state)
 
 
-def _offer(lanes: list[Lane], exchanges: list[PeerExchange]) -> None:
-    for lane, exchange in zip(lanes, exchanges, strict=False):
-        lane.offer(exchange)
+def _offer(workers: list[PeerWorker], exchanges: list[PeerExchange]) -> None:
+    for worker, exchange in zip(workers, exchanges, strict=False):
+        worker.offer(exchange)
--- a/apricotpin/components/weights/pulling.py
+++ b/apricotpin/components/weights/pulling.py
@@ -2,7 +2,6 @@
 
 import random
 
-from apricotpin.components.weights.crew import Crew
 from apricotpin.components.weights.plan import Plan
 from apricotpin.components.weights.selection import (
     Selection,
@@ -13,6 +12,7 @@
 )
 from apricotpin.components.weights.store import VersionStore
 from apricotpin.components.weights.transfer import Transfer
+from apricotpin.components.weights.worker_pool import WorkerPool
 from apricotpin.core import Kernel, Reply
 from apricotpin.errors import ErrorKind
 from apricotpin.helpers.metrics import count_retry
@@ -23,7 +23,7 @@
 class Puller:
     """Own the lanes of the target version and what their sources did."""
 
-    __slots__ = ('_crew', '_kernel', '_plan', '_store', 'selection')
+    __slots__ = ('_pool', '_kernel', '_plan', '_store', 'selection')
 
     def __init__(
         self,
@@ -36,7 +36,7 @@
         self._kernel = kernel
         self._plan = plan
         self._store = store
-        self._crew = Crew(kernel, settings)
+        self._pool = WorkerPool(kernel, settings)
 
     def start(self, target: Transfer) -> None:
         """Start the lanes: one for the manifest, all for the chunks."""
@@ -46,11 +46,11 @@
         lanes = stripes * self._plan.window_chunks if target.pulling else 1
         for number in range(lanes):
             place, stripe = divmod(number, stripes)
-            self._crew.start(Lane(target.transfer_id, stripe, place))
+            self._pool.start(Lane(target.transfer_id, stripe, place))
 
     def stop(self) -> None:
         """End all fetches."""
-        self._crew.stop()
+        self._pool.stop()
 
     def renew_topology(self) -> None:
         """Compute the trees from the plan."""
@@ -79,7 +79,7 @@
         if target.complete:
             reply.ok(None)
             return
-        self._crew.wait(message, reply)
+        self._pool.wait(message, reply)
         self.give_orders(now_s)
 
     def give_orders(self, now_s: float) -> None:
@@ -87,10 +87,10 @@
         target = self._store.target
         if target is None or target.complete:
             return
-        for lane in self._crew.waiting():
+        for lane in self._pool.waiting():
             order = next_fetch(self.selection, target, lane, now_s)
             if order is not None:
-                self._crew.give(lane, order)
+                self._pool.give(lane, order)
 
     def settle(self, message: FetchDone, now_s: float) -> ErrorKind | None:
         """Check what arrived; return why the fetch has to be repeated."""
@@ -115,5 +115,5 @@
             return
         for key in overdue_lanes(self.selection, target, now_s):
             abandon_lane(self.selection, target, key, now_s)
-            self._crew.restart(key, target.transfer_id)
+            self._pool.restart(key, target.transfer_id)
             count_retry(self._kernel, 'source_slow')
--- a/apricotpin/components/weights/crew.py
+++ b/apricotpin/components/weights/worker_pool.py
@@ -20,7 +20,7 @@
         self.reply = reply
 
 
-class Crew:
+class WorkerPool:
     """Own the worker greenlets of one transfer."""
 
     __slots__ = ('_kernel', '_settings', '_waiting', '_workers')
