Use the verdict constants of messages/verdicts.py in the frontend

Cause: the frontend spelled the verdicts on claims again as strings. Change: refusals.py and answers.py name the constants; behaviour is the same. Conclusion: a renamed verdict can no longer pass unnoticed.

--- a/apricotpin/components/frontend/answers.py
+++ b/apricotpin/components/frontend/answers.py
@@ -13,9 +13,9 @@
 from apricotpin.components.frontend.trials import Trial
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.messages.claims import ClaimAnswer, Outcome
+from apricotpin.messages.verdicts import DONE
 
 _BODILESS: Final = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
-_DONE: Final = 'done'
 
 
 def head_of(job: Job, trial: Trial) -> Headers:
@@ -47,7 +47,7 @@
 def stored_answer(claimed: ClaimAnswer) -> CallerAnswer | None:
     """Return the stored answer of an earlier run, if there is a whole one."""
     outcome = claimed.outcome
-    if claimed.verdict != _DONE or outcome is None or claimed.detail:
+    if claimed.verdict != DONE or outcome is None or claimed.detail:
         return None
     content_type = outcome.content_type or CONTENT_TYPE_JSON
     headers = [('Content-Type', content_type), ('X-Outcome', 'stored')]
--- a/apricotpin/components/frontend/refusals.py
+++ b/apricotpin/components/frontend/refusals.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from apricotpin.errors import Answer, ErrorKind, Executed, Repeat, answer_for
+from apricotpin.messages import verdicts
 
 _KEY_KINDS: Final = frozenset(
     (
@@ -24,15 +25,15 @@
 
 _CLAIM_FAILURES: Final = types.MappingProxyType(
     {
-        'granted': None,
-        'running': ErrorKind.OUTCOME_UNKNOWN,
-        'unknown': ErrorKind.OUTCOME_UNKNOWN,
-        'done': ErrorKind.OUTCOME_NOT_STORED,
-        'not_run': ErrorKind.NOT_RUN,
-        'reused': ErrorKind.KEY_REUSED,
-        'expired': ErrorKind.KEY_EXPIRED,
-        'invalid': ErrorKind.KEY_INVALID,
-        'absent': ErrorKind.OUTCOME_NOT_FOUND,
+        verdicts.GRANTED: None,
+        verdicts.RUNNING: ErrorKind.OUTCOME_UNKNOWN,
+        verdicts.UNKNOWN: ErrorKind.OUTCOME_UNKNOWN,
+        verdicts.DONE: ErrorKind.OUTCOME_NOT_STORED,
+        verdicts.NOT_RUN: ErrorKind.NOT_RUN,
+        verdicts.REUSED: ErrorKind.KEY_REUSED,
+        verdicts.EXPIRED: ErrorKind.KEY_EXPIRED,
+        verdicts.INVALID: ErrorKind.KEY_INVALID,
+        verdicts.ABSENT: ErrorKind.OUTCOME_NOT_FOUND,
     }
 )
 
