--- a/apricotpin/bootstrap.py
+++ b/apricotpin/bootstrap.py
@@ -15,6 +15,7 @@
 from apricotpin.core import Kernel, Started
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.logs import configure_logs
+from apricotpin.host_settings import HostSettings
 from apricotpin.settings import Settings
 
 ROLE_COMPONENTS: Final = types.MappingProxyType(
@@ -38,13 +39,42 @@
             const.SERVICE_ENGINE,
             const.SERVICE_WEIGHTS,
         ),
+        const.ROLE_HOST_ENTRY: (
+            const.SERVICE_METRICS,
+            const.SERVICE_ADMIN,
+            const.SERVICE_PLATFORM,
+            const.SERVICE_PEER_API,
+            const.SERVICE_PRESENCE,
+            const.SERVICE_RELAY,
+            const.SERVICE_ROUTES,
+            const.SERVICE_DISPATCH,
+            const.SERVICE_FOLLOWER,
+            const.SERVICE_GATEWAY,
+        ),
+        const.ROLE_HOST_AGENT: (
+            const.SERVICE_METRICS,
+            const.SERVICE_ADMIN,
+            const.SERVICE_PLATFORM,
+            const.SERVICE_PRESENCE,
+            const.SERVICE_INSTALLER,
+        ),
     }
 )
 
+AnySettings = Settings | HostSettings
+
 
 def run(settings: Settings, stop_requested: Event) -> Result[None, Failure]:
     """Run a process until a stop is requested."""
     configure_logs(settings.log_level, settings.host_id)
+    return run_until_stopped(settings, stop_requested)
+
+
+def run_until_stopped(
+    settings: AnySettings,
+    stop_requested: Event,
+) -> Result[None, Failure]:
+    """Set up the role and run it; logs are configured already."""
     kernel = Kernel(settings.host_id)
     prepared = set_up(kernel, settings)
     if prepared.is_err():
@@ -58,7 +88,7 @@
     return Ok(None)
 
 
-def set_up(kernel: Kernel, settings: Settings) -> Result[None, Failure]:
+def set_up(kernel: Kernel, settings: AnySettings) -> Result[None, Failure]:
     """Set up all components of the role; the failure names the component."""
     for name in setup_order(ROLE_COMPONENTS[settings.role]):
         outcome = _set_up_component(name, kernel, settings)
@@ -86,17 +116,24 @@
 
 def read_manifest(name: str) -> dict[str, Any]:
     """Return the manifest of a component."""
-    component = resources.files(f'apricotpin.components.{name}')
+    component = resources.files(_package_of(name))
     return json.loads(component.joinpath('manifest.json').read_text())
 
 
 def _set_up_component(
     name: str,
     kernel: Kernel,
-    settings: Settings,
+    settings: AnySettings,
 ) -> Result[None, Failure]:
     try:
-        component = import_module(f'apricotpin.components.{name}')
+        component = import_module(_package_of(name))
     except ImportError as error:
         return Err(Failure(ErrorKind.INTERNAL, repr(error)))
     return component.setup(kernel, settings)
+
+
+def _package_of(name: str) -> str:
+    # The adapter to a platform stands beside the components.
+    if name == const.SERVICE_PLATFORM:
+        return 'apricotpin.platform'
+    return f'apricotpin.components.{name}'
--- /dev/null
+++ b/apricotpin/components/dispatch/__init__.py
@@ -0,0 +1,41 @@
+"""Choose upstreams by load, version and health, within a retry budget."""
+
+from result import Ok, Result
+
+from apricotpin.components.dispatch.const import IDLE_CHECK_S, MAILBOX_SIZE
+from apricotpin.components.dispatch.service import (
+    CloseIdleConnections,
+    DispatchService,
+)
+from apricotpin.components.dispatch.state import DispatchState
+from apricotpin.components.dispatch.waiting import ExpireWaiters
+from apricotpin.const import SERVICE_DISPATCH
+from apricotpin.core import Kernel
+from apricotpin.errors import Failure
+from apricotpin.host_settings import HostSettings
+from apricotpin.messages import desired, fleet, upstreams
+
+
+def setup(kernel: Kernel, settings: HostSettings) -> Result[None, Failure]:
+    """Register the dispatch service."""
+    state = DispatchState(settings.data_centre, settings.bounds)
+    service = DispatchService(kernel, state)
+    kernel.register(
+        SERVICE_DISPATCH,
+        {
+            desired.DesiredStateChanged: service.change_state,
+            desired.ModelVersionChanged: service.change_version,
+            upstreams.UpstreamListed: service.list_upstream,
+            upstreams.UpstreamUnlisted: service.unlist_upstream,
+            fleet.LoadReport: service.take_report,
+            fleet.EntryHostsChanged: service.count_hosts,
+            upstreams.NoteRequest: service.note_request,
+            upstreams.PickUpstream: service.pick,
+            upstreams.AttemptDone: service.end_attempt,
+            ExpireWaiters: service.expire_waiters,
+            CloseIdleConnections: service.close_idle,
+        },
+        mailbox_size=MAILBOX_SIZE,
+    )
+    kernel.every(SERVICE_DISPATCH, CloseIdleConnections(), IDLE_CHECK_S)
+    return Ok(None)
--- /dev/null
+++ b/apricotpin/components/dispatch/decisions.py
@@ -0,0 +1,202 @@
+"""Choose an upstream, and decide what is remembered of an attempt."""
+
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from apricotpin.components.dispatch import const
+from apricotpin.components.dispatch.state import (
+    DispatchState,
+    Upstream,
+    Window,
+)
+from apricotpin.errors import ErrorKind, Failure
+from apricotpin.helpers.exchange import Verdict
+from apricotpin.messages.desired import Engine
+from apricotpin.messages.fleet import LoadReport
+
+Random = Callable[[], float]
+
+_UNREACHABLE = frozenset((Verdict.CONNECT_FAILED, Verdict.RESET))
+
+
+def choose(
+    state: DispatchState,
+    service: str,
+    tried: tuple[str, ...],
+    now_s: float,
+    random_unit: Random,
+) -> Result[Upstream, Failure]:
+    """Return the upstream with the least expected wait."""
+    spec = state.services.get(service)
+    engine = None if spec is None else spec.engine
+    serving = [
+        upstream
+        for upstream in state.upstreams.values()
+        if upstream.entry.service == service
+        and upstream.entry.instance_id not in tried
+        and may_serve(state, upstream, engine, now_s)
+    ]
+    if not serving:
+        detail = f'no worker of {service} may serve'
+        return Err(Failure(ErrorKind.NO_UPSTREAM, detail))
+    free = [
+        upstream
+        for upstream in serving
+        if has_room(upstream, engine is not None, now_s)
+    ]
+    if not free:
+        detail = f'{len(serving)} workers of {service} are full'
+        return Err(Failure(ErrorKind.OVERLOADED, detail))
+    return Ok(
+        min(
+            free,
+            key=lambda one: cost_of(state, one, now_s, random_unit),
+        ),
+    )
+
+
+def may_serve(
+    state: DispatchState,
+    upstream: Upstream,
+    engine: Engine | None,
+    now_s: float,
+) -> bool:
+    """Tell whether an upstream is there and holds an allowed version."""
+    if upstream.entry.draining or is_replaced(upstream, now_s):
+        return False
+    if engine is None:
+        return True
+    version = version_of(upstream, engine, now_s)
+    return version > 0 and is_allowed(state, engine.model, version, now_s)
+
+
+def has_room(upstream: Upstream, is_model: bool, now_s: float) -> bool:
+    """Tell whether an upstream may be sent one more request now."""
+    if upstream.rest_until_s > now_s:
+        return False
+    slots = upstream.entry.slots
+    ahead = (
+        const.MODEL_QUEUE_AHEAD if is_model else slots * const.PLAIN_QUEUE_SHARE
+    )
+    return load_of(upstream, now_s) < slots + ahead
+
+
+def cost_of(
+    state: DispatchState,
+    upstream: Upstream,
+    now_s: float,
+    random_unit: Random,
+) -> float:
+    """Return the expected wait in units of a full worker."""
+    cost = load_of(upstream, now_s) / max(1, upstream.entry.slots)
+    if upstream.entry.data_centre != state.data_centre:
+        cost += const.DISTANCE_COST
+    if is_fresh(upstream, now_s) and upstream.report.switching:
+        cost += const.SWITCHING_COST
+    cost += upstream.failure_score * const.FAILURE_COST
+    return cost + random_unit() * const.TIE_SPREAD
+
+
+def load_of(upstream: Upstream, now_s: float) -> int:
+    """Return the requests expected at an upstream, those waiting included."""
+    others = upstream.others if is_fresh(upstream, now_s) else 0
+    return upstream.own + others
+
+
+def is_fresh(upstream: Upstream, now_s: float) -> bool:
+    """Tell whether an agent reported on an upstream lately."""
+    return now_s - upstream.reported_s < const.REPORT_FRESH_S
+
+
+def is_replaced(upstream: Upstream, now_s: float) -> bool:
+    """Tell whether another start of a worker is at the address now."""
+    if not is_fresh(upstream, now_s):
+        return False
+    report = upstream.report
+    if not report.reachable:
+        return True
+    started_ms = upstream.entry.started_ms
+    return bool(started_ms) and started_ms != report.started_ms
+
+
+def version_of(upstream: Upstream, engine: Engine, now_s: float) -> int:
+    """Return the version that a worker holds whole, 0 if it holds none."""
+    if is_fresh(upstream, now_s):
+        report = upstream.report
+        whole = report.layers_start == 0 and report.layers_end >= engine.layers
+        return report.version if whole else 0
+    versions = [
+        part.version
+        for part in upstream.entry.loaded or ()
+        if part.model == engine.model
+        and part.start == 0
+        and (part.end < 0 or part.end >= engine.layers)
+    ]
+    return max(versions, default=0)
+
+
+def is_allowed(
+    state: DispatchState,
+    model: str,
+    version: int,
+    now_s: float,
+) -> bool:
+    """Tell whether a request may begin on a version."""
+    target = state.targets.get(model)
+    if target is None or version >= target.version:
+        return True
+    known_for_s = now_s - target.since_s
+    return known_for_s < state.bounds.version_s - const.VERSION_MARGIN_S
+
+
+def note_report(upstream: Upstream, report: LoadReport, now_s: float) -> None:
+    """Take an agent's report; what exceeds the own attempts is of others."""
+    upstream.report = report
+    upstream.reported_s = now_s
+    upstream.others = max(0, report.active + report.queued - upstream.own)
+
+
+def note_verdict(
+    upstream: Upstream,
+    verdict: Verdict,
+    now_s: float,
+    rest_s: Callable[[int], float],
+) -> None:
+    """Remember how an attempt ended."""
+    failed = verdict not in {Verdict.ANSWERED, Verdict.BUSY, Verdict.LEFT}
+    weight = const.FAILURE_WEIGHT
+    if verdict is Verdict.BUSY:
+        upstream.rest_until_s = now_s + const.BUSY_REST_S
+    elif failed or verdict is Verdict.ANSWERED:
+        upstream.failure_score += (failed - upstream.failure_score) * weight
+    if verdict in _UNREACHABLE:
+        upstream.failures += 1
+        upstream.rest_until_s = now_s + rest_s(upstream.failures)
+    elif verdict is Verdict.ANSWERED:
+        upstream.failures = 0
+
+
+def note_arrival(window: Window, is_retry: bool, now_s: float) -> None:
+    """Count a request or a retry."""
+    second = int(now_s)
+    if not window.buckets or window.buckets[-1][0] != second:
+        window.buckets.append([second, 0, 0])
+    window.buckets[-1][1 + is_retry] += 1
+
+
+def may_retry(
+    state: DispatchState,
+    window: Window,
+    now_s: float,
+) -> bool:
+    """Tell whether this host's share of the retry budget allows one more."""
+    bounds = state.bounds
+    oldest = now_s - bounds.retry_window_s - 1
+    while window.buckets and window.buckets[0][0] < oldest:
+        window.buckets.popleft()
+    requests = sum(bucket[1] for bucket in window.buckets)
+    retries = sum(bucket[2] for bucket in window.buckets)
+    allowance = bounds.retry_allowance / max(1, state.entry_hosts)
+    allowed = requests * bounds.retry_budget_ratio + allowance
+    return retries + 1 <= allowed * const.BUDGET_SHARE
--- /dev/null
+++ b/apricotpin/components/dispatch/service.py
@@ -0,0 +1,277 @@
+"""Own the upstreams, the attempts in progress and the retry budget."""
+
+import random
+import time
+
+import gevent
+from loguru import logger
+from result import Err, Result
+
+from apricotpin.components.dispatch import const, decisions
+from apricotpin.components.dispatch.state import (
+    DispatchState,
+    IdleConnection,
+    Target,
+    Upstream,
+    Window,
+)
+from apricotpin.components.dispatch.waiting import (
+    ExpireWaiters,
+    Waiter,
+    by_urgency,
+    split_expired,
+)
+from apricotpin.const import SERVICE_DISPATCH
+from apricotpin.core import Kernel, Reply
+from apricotpin.errors import ErrorKind, Failure
+from apricotpin.helpers.backoff import jittered_pause
+from apricotpin.helpers.exchange import Verdict, is_quiet
+from apricotpin.helpers.metrics import count_retry
+from apricotpin.messages import desired, fleet, upstreams
+from apricotpin.messages.metrics import Count
+
+
+class CloseIdleConnections:
+    """Close the connections that have been idle for too long."""
+
+    __slots__ = ()
+
+
+class DispatchService:
+    """Own the upstreams, the attempts in progress and the retry budget."""
+
+    __slots__ = ('_kernel', '_rest_s', '_state', '_waiters')
+
+    def __init__(self, kernel: Kernel, state: DispatchState) -> None:
+        self._kernel = kernel
+        self._state = state
+        self._waiters: list[Waiter] = []
+        self._rest_s = jittered_pause(
+            const.REST_FIRST_S,
+            const.REST_LONGEST_S,
+            random.random,
+        )
+
+    def change_state(
+        self,
+        message: desired.DesiredStateChanged,
+        reply: Reply,
+    ) -> None:
+        """Take the services of a desired state."""
+        services = message.state.services
+        self._state.services = {spec.name: spec for spec in services}
+        reply.ok()
+
+    def change_version(
+        self,
+        message: desired.ModelVersionChanged,
+        reply: Reply,
+    ) -> None:
+        """Take a declared version; one of unknown age counts as old."""
+        age_s = message.known_for_s
+        if age_s < 0:
+            age_s = self._state.bounds.version_s
+        target = Target(message.target.version, time.monotonic() - age_s)
+        self._state.targets[message.target.model] = target
+        reply.ok()
+
+    def list_upstream(
+        self,
+        message: upstreams.UpstreamListed,
+        reply: Reply,
+    ) -> None:
+        """Take an entry; a new start or address makes it another upstream."""
+        entry = message.entry
+        known = self._state.upstreams.get(entry.instance_id)
+        same = known is not None and (
+            known.entry.started_ms == entry.started_ms
+            and known.address == entry.address
+        )
+        if same:
+            known.entry = entry
+        else:
+            self._forget(entry.instance_id)
+            self._state.upstreams[entry.instance_id] = Upstream(entry)
+        self._serve_waiters()
+        reply.ok()
+
+    def unlist_upstream(
+        self,
+        message: upstreams.UpstreamUnlisted,
+        reply: Reply,
+    ) -> None:
+        """Send nothing more to an upstream that is gone."""
+        self._forget(message.instance_id)
+        reply.ok()
+
+    def take_report(self, message: fleet.LoadReport, reply: Reply) -> None:
+        """Take an agent's report on the worker at its address."""
+        now_s = time.monotonic()
+        for upstream in self._state.upstreams.values():
+            if upstream.address == message.address:
+                decisions.note_report(upstream, message, now_s)
+        self._serve_waiters()
+        reply.ok()
+
+    def count_hosts(
+        self,
+        message: fleet.EntryHostsChanged,
+        reply: Reply,
+    ) -> None:
+        """Share the retry budget with the other entry hosts."""
+        self._state.entry_hosts = len(message.hosts)
+        reply.ok()
+
+    def note_request(
+        self,
+        message: upstreams.NoteRequest,
+        reply: Reply,
+    ) -> None:
+        """Count a request of a caller."""
+        window = self._window(message.service)
+        decisions.note_arrival(window, False, time.monotonic())
+        reply.ok()
+
+    def pick(self, message: upstreams.PickUpstream, reply: Reply) -> None:
+        """Answer with an upstream, or wait for one as long as allowed."""
+        outcome = self._pick(message)
+        waits = (
+            outcome.is_err()
+            and message.hold_s > 0
+            and outcome.err_value.kind is ErrorKind.OVERLOADED
+            and len(self._waiters) < const.WAITERS_MAX
+        )
+        if not waits:
+            reply.forward(outcome)
+            return
+        until_s = time.monotonic() + message.hold_s
+        self._waiters.append(Waiter(message, reply, until_s))
+        gevent.spawn_later(
+            message.hold_s,
+            self._kernel.send,
+            SERVICE_DISPATCH,
+            ExpireWaiters(),
+        )
+
+    def expire_waiters(self, _message: ExpireWaiters, reply: Reply) -> None:
+        """Refuse the requests that have waited long enough."""
+        waiting, expired = split_expired(self._waiters, time.monotonic())
+        self._waiters = waiting
+        for waiter in expired:
+            waiter.reply.forward(self._pick(waiter.message))
+        reply.ok()
+
+    def end_attempt(
+        self,
+        message: upstreams.AttemptDone,
+        reply: Reply,
+    ) -> None:
+        """Take back an upstream and keep its connection."""
+        upstream = self._state.upstreams.get(message.instance_id)
+        if upstream is None:
+            _close(message.connection)
+            reply.ok()
+            return
+        now_s = time.monotonic()
+        upstream.own = max(0, upstream.own - 1)
+        verdict = Verdict(message.verdict)
+        decisions.note_verdict(upstream, verdict, now_s, self._rest_s)
+        if verdict is Verdict.MISDIRECTED:
+            # Another worker has the address; the entry is out of date.
+            self._forget(message.instance_id)
+        self._keep(upstream, message, now_s)
+        self._serve_waiters()
+        reply.ok()
+
+    def close_idle(self, _message: CloseIdleConnections, reply: Reply) -> None:
+        """Close the connections that may not be used again."""
+        now_s = time.monotonic()
+        for upstream in self._state.upstreams.values():
+            usable = [one for one in upstream.idle if one.until_s > now_s]
+            for idle in upstream.idle:
+                if idle not in usable:
+                    _close(idle.connection)
+            upstream.idle = usable
+        reply.ok()
+
+    def _pick(
+        self,
+        message: upstreams.PickUpstream,
+    ) -> Result[upstreams.Picked, Failure]:
+        now_s = time.monotonic()
+        window = self._window(message.service)
+        retries = bool(message.retry_reason)
+        if retries and not decisions.may_retry(self._state, window, now_s):
+            detail = f'the retries of {message.service} are used up'
+            return Err(Failure(ErrorKind.RETRY_BUDGET_EMPTY, detail))
+        chosen = decisions.choose(
+            self._state,
+            message.service,
+            message.tried,
+            now_s,
+            random.random,
+        )
+        if chosen.is_ok() and retries:
+            decisions.note_arrival(window, True, now_s)
+            count_retry(self._kernel, message.retry_reason)
+        return chosen.map(lambda upstream: self._take(upstream, now_s))
+
+    def _take(self, upstream: Upstream, now_s: float) -> upstreams.Picked:
+        load = decisions.load_of(upstream, now_s)
+        upstream.own += 1
+        return upstreams.Picked(
+            upstream.entry.instance_id,
+            upstream.address,
+            self._take_idle(upstream, now_s),
+            0 if upstream.report is None else upstream.report.version,
+            load,
+            now_s - upstream.reported_s,
+        )
+
+    def _take_idle(self, upstream: Upstream, now_s: float) -> object:
+        while upstream.idle:
+            newest = upstream.idle.pop()
+            if newest.until_s > now_s and is_quiet(newest.connection):
+                return newest.connection
+            _close(newest.connection)
+        self._kernel.send('metrics', Count('upstream_connections_total'))
+        return None
+
+    def _keep(
+        self,
+        upstream: Upstream,
+        message: upstreams.AttemptDone,
+        now_s: float,
+    ) -> None:
+        if message.connection is None:
+            return
+        if len(upstream.idle) >= const.IDLE_PER_UPSTREAM:
+            _close(message.connection)
+            return
+        idle_s = const.IDLE_UNNAMED_S
+        if message.idle_s is not None:
+            idle_s = message.idle_s * const.IDLE_USE
+        upstream.idle.append(IdleConnection(message.connection, now_s + idle_s))
+
+    def _serve_waiters(self) -> None:
+        for waiter in by_urgency(self._waiters):
+            outcome = self._pick(waiter.message)
+            if outcome.is_err():
+                # All that wait now find the same workers full.
+                break
+            self._waiters.remove(waiter)
+            waiter.reply.forward(outcome)
+
+    def _forget(self, instance_id: str) -> None:
+        upstream = self._state.upstreams.pop(instance_id, None)
+        if upstream is not None:
+            for idle in upstream.idle:
+                _close(idle.connection)
+
+    def _window(self, service: str) -> Window:
+        return self._state.windows.setdefault(service, Window())
+
+
+def _close(connection: object) -> None:
+    if connection is not None:
+        connection.close()
--- /dev/null
+++ b/apricotpin/components/dispatch/state.py
@@ -0,0 +1,95 @@
+"""What dispatch knows of upstreams, requests and versions."""
+
+from collections import deque
+from typing import Any
+
+from apricotpin.host_settings import Bounds
+from apricotpin.messages.desired import ServiceSpec
+from apricotpin.messages.fleet import LoadReport
+from apricotpin.messages.upstreams import UpstreamEntry
+
+
+class IdleConnection:
+    """Hold a connection and until when it may be used again."""
+
+    __slots__ = ('connection', 'until_s')
+
+    def __init__(self, connection: Any, until_s: float) -> None:
+        self.connection = connection
+        self.until_s = until_s
+
+
+class Upstream:
+    """Hold what is known of one upstream.
+
+    own counts this host's attempts in progress; others estimates those of
+    the other hosts, from the report received at reported_s.
+    """
+
+    __slots__ = (
+        'address',
+        'entry',
+        'failure_score',
+        'failures',
+        'idle',
+        'others',
+        'own',
+        'report',
+        'reported_s',
+        'rest_until_s',
+    )
+
+    def __init__(self, entry: UpstreamEntry) -> None:
+        self.entry = entry
+        self.address = entry.address
+        self.own = 0
+        self.others = 0
+        self.report: LoadReport | None = None
+        self.reported_s = float('-inf')
+        self.failures = 0
+        self.failure_score = 0.0
+        self.rest_until_s = float('-inf')
+        self.idle: list[IdleConnection] = []
+
+
+class Target:
+    """Hold a declared version and since when it has been known."""
+
+    __slots__ = ('since_s', 'version')
+
+    def __init__(self, version: int, since_s: float) -> None:
+        self.version = version
+        self.since_s = since_s
+
+
+class Window:
+    """Count requests and retries of a service by second."""
+
+    __slots__ = ('buckets',)
+
+    def __init__(self) -> None:
+        # Each bucket is [second, requests, retries].
+        self.buckets: deque[list[int]] = deque()
+
+
+class DispatchState:
+    """Hold all that a choice rests on."""
+
+    __slots__ = (
+        'bounds',
+        'data_centre',
+        'entry_hosts',
+        'services',
+        'targets',
+        'upstreams',
+        'windows',
+    )
+
+    def __init__(self, data_centre: str, bounds: Bounds) -> None:
+        self.data_centre = data_centre
+        self.bounds = bounds
+        self.entry_hosts = 1
+        self.services: dict[str, ServiceSpec] = {}
+        self.targets: dict[str, Target] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self.windows: dict[str, Window] = {}
--- /dev/null
+++ b/apricotpin/components/follower/decisions.py
@@ -0,0 +1,67 @@
+"""Decide what entries of a feed mean for what this process believes."""
+
+from apricotpin.components.follower.const import LAPSE_S
+from apricotpin.messages.upstreams import UpstreamEntry
+
+
+class Listing:
+    """Hold the upstreams listed, and when the store was last away.
+
+    lapsed maps instances whose entry vanished around a store outage to the
+    time at which they are taken as gone. Times are of the monotonic clock.
+    """
+
+    __slots__ = ('away', 'back_s', 'known', 'lapsed')
+
+    def __init__(self) -> None:
+        self.known: dict[str, UpstreamEntry] = {}
+        self.lapsed: dict[str, float] = {}
+        self.away = False
+        self.back_s = float('-inf')
+
+
+def note_reachable(listing: Listing, reachable: bool, now_s: float) -> bool:
+    """Note whether the store answers; return whether that changed."""
+    changed = listing.away == reachable
+    if listing.away and reachable:
+        listing.back_s = now_s
+    listing.away = not reachable
+    return changed
+
+
+def note_listed(listing: Listing, entry: UpstreamEntry) -> None:
+    """Note an entry as it stands in the store now."""
+    listing.known[entry.instance_id] = entry
+    listing.lapsed.pop(entry.instance_id, None)
+
+
+def note_vanished(listing: Listing, instance_id: str, now_s: float) -> bool:
+    """Note that an entry is gone; return whether the upstream is too.
+
+    An entry that vanished while the store was away may only have lapsed, so
+    its upstream is believed for the time in which entries return.
+    """
+    entry = listing.known.get(instance_id)
+    if entry is None:
+        return False
+    recent = now_s - listing.back_s < LAPSE_S
+    if recent and not entry.draining:
+        listing.lapsed.setdefault(instance_id, listing.back_s + LAPSE_S)
+        return False
+    del listing.known[instance_id]
+    listing.lapsed.pop(instance_id, None)
+    return True
+
+
+def take_overdue(listing: Listing, now_s: float) -> list[str]:
+    """Remove and return the instances that did not come back in time."""
+    overdue = [one for one, due_s in listing.lapsed.items() if due_s <= now_s]
+    for instance_id in overdue:
+        del listing.lapsed[instance_id]
+        listing.known.pop(instance_id, None)
+    return overdue
+
+
+def missing_from(listing: Listing, listed: set[str]) -> list[str]:
+    """Return the known instances that a whole snapshot does not hold."""
+    return [one for one in listing.known if one not in listed]
--- a/apricotpin/components/frontend/attempts.py
+++ b/apricotpin/components/frontend/attempts.py
@@ -16,7 +16,7 @@
     HEADER_REQUEST_ID,
     RESTING_WAITS_MAX,
 )
-from apricotpin.components.frontend.exchange import Exchange, connect
+from apricotpin.helpers.exchange import Exchange, connect
 from apricotpin.components.frontend.job import Job
 from apricotpin.components.frontend.streams import EventStream
 from apricotpin.components.frontend.trials import Opened, Trial
--- a/apricotpin/components/frontend/const.py
+++ b/apricotpin/components/frontend/const.py
@@ -9,9 +9,7 @@
 # is passed on only when it is whole.
 REQUEST_BODY_MAX_BYTES: Final = 4 * _MIB
 ANSWER_BODY_MAX_BYTES: Final = 8 * _MIB
-ANSWER_HEAD_MAX_BYTES: Final = 64 * _KIB
 EVENT_MAX_BYTES: Final = _MIB
-RECEIVE_BYTES: Final = 64 * _KIB
 # What is left of a refused body is read and dropped, since a connection that
 # closes on unread bytes is reset and the caller never sees the refusal. More
 # than this is not worth reading.
@@ -27,7 +25,6 @@
 ATTEMPTS_MAX: Final = 4
 # Waits for a suspected upstream when a request has no other.
 RESTING_WAITS_MAX: Final = 4
-CONNECT_TIMEOUT_S: Final = 1.0
 # A choice of upstream older than this is made again before the first byte: a
 # process that was paused in between may send to a host that has left.
 FRESH_S: Final = 1.0
--- a/apricotpin/components/frontend/service.py
+++ b/apricotpin/components/frontend/service.py
@@ -11,7 +11,7 @@
     IDLE_MAX_S,
     IDLE_PER_ADDRESS,
 )
-from apricotpin.components.frontend.exchange import is_quiet
+from apricotpin.helpers.exchange import is_quiet
 from apricotpin.const import SERVICE_FRONTEND
 from apricotpin.core import Kernel, Reply, Stopping
 from apricotpin.errors import ErrorKind
--- a/apricotpin/components/frontend/streams.py
+++ b/apricotpin/components/frontend/streams.py
@@ -6,7 +6,7 @@
 
 from apricotpin.components.frontend.const import STREAM_END_S
 from apricotpin.components.frontend.events import Event, EventSplitter
-from apricotpin.components.frontend.exchange import Exchange
+from apricotpin.helpers.exchange import Exchange
 from apricotpin.components.frontend.verdicts import Verdict
 from apricotpin.messages.routing import Chosen
 
--- a/apricotpin/components/frontend/trials.py
+++ b/apricotpin/components/frontend/trials.py
@@ -1,6 +1,6 @@
 """What an attempt brought, and the connection it goes over."""
 
-from apricotpin.components.frontend.exchange import Exchange
+from apricotpin.helpers.exchange import Exchange
 from apricotpin.components.frontend.streams import EventStream
 from apricotpin.components.frontend.verdicts import Attempt
 from apricotpin.messages.routing import Chosen
--- a/apricotpin/components/frontend/verdicts.py
+++ b/apricotpin/components/frontend/verdicts.py
@@ -3,20 +3,7 @@
 import enum
 
 from apricotpin.errors import Failure
-
-
-class Verdict(enum.Enum):
-    """Say how an attempt ended; the values are the retry reasons."""
-
-    ANSWERED = 'answered'
-    CONNECT_FAILED = 'connect_failed'
-    RESET = 'reset_before_answer'
-    SILENT = 'silent'
-    CROSSED = 'crossed_answer'
-    BUSY = 'upstream_busy'
-    TRUNCATED = 'truncated'
-    WRONG_VERSION = 'wrong_version'
-    TOO_LARGE = 'answer_too_large'
+from apricotpin.helpers.exchange import Verdict
 
 
 class Action(enum.Enum):
--- /dev/null
+++ b/apricotpin/components/gateway/application.py
@@ -0,0 +1,193 @@
+"""The WSGI application of the callers' listener."""
+
+import time
+from collections.abc import Callable, Iterator
+from http import HTTPStatus
+from typing import Any
+
+import gevent
+from result import Result
+
+from apricotpin.components.gateway import decisions, serving
+from apricotpin.components.gateway.attempts import Attempt, Job
+from apricotpin.components.gateway.callers import (
+    ENVIRON_CALL,
+    RawCall,
+    watch_caller,
+)
+from apricotpin.components.gateway.service import BeginCall, EndCall
+from apricotpin.const import SERVICE_GATEWAY, SERVICE_METRICS
+from apricotpin.core import Kernel
+from apricotpin.errors import Failure, answer_for
+from apricotpin.helpers.metrics import count_refusal
+from apricotpin.messages.calls import CallCodec, CallHead, Headers
+from apricotpin.messages.desired import RouteKind
+from apricotpin.messages.metrics import Observe
+
+StartResponse = Callable[[str, Headers], Any]
+
+
+class Call:
+    """Own one request of a caller from its head to the end of its answer."""
+
+    __slots__ = (
+        '_codec',
+        '_head',
+        '_job',
+        '_kernel',
+        '_outcome',
+        '_raw',
+        '_started_s',
+        '_stopping',
+        '_watcher',
+    )
+
+    def __init__(self, kernel: Kernel, codec: CallCodec, raw: RawCall) -> None:
+        self._kernel = kernel
+        self._codec = codec
+        self._raw = raw
+        self._started_s = time.monotonic()
+        self._head: CallHead | None = None
+        self._job: Job | None = None
+        self._watcher: gevent.Greenlet | None = None
+        self._outcome: dict[str, Any] = {'outcome': 'caller_left'}
+        self._stopping = False
+
+    def run(self, start_response: StartResponse) -> Iterator[bytes]:
+        """Yield the parts of the answer."""
+        answered = self._obtain()
+        if answered.is_err():
+            yield self._refuse(answered.err_value, start_response)
+            return
+        attempt = answered.ok_value
+        status = attempt.head.status
+        self._outcome = {'outcome': 'broken_off', 'status': status}
+        self._kernel.send(
+            SERVICE_METRICS,
+            Observe('first_byte_s', time.monotonic() - self._started_s),
+        )
+        yield from self._deliver(attempt, start_response)
+        self._outcome['outcome'] = 'answered'
+
+    def close(self) -> None:
+        """Give back everything that the request holds."""
+        if self._watcher is not None:
+            self._watcher.kill(block=False)
+        if self._job is not None:
+            self._job.abandon()
+        self._kernel.send(SERVICE_GATEWAY, EndCall())
+        self._kernel.send(
+            SERVICE_METRICS,
+            Observe('request_duration_s', time.monotonic() - self._started_s),
+        )
+        serving.log_end(
+            self._job,
+            self._head,
+            self._started_s,
+            self._outcome,
+        )
+
+    def _obtain(self) -> Result[Attempt, Failure]:
+        begun = self._kernel.call(SERVICE_GATEWAY, BeginCall())
+        self._stopping = begun.is_err() or begun.ok_value.stopping
+        head = self._codec.decode_request(
+            self._raw.method,
+            self._raw.target,
+            self._raw.headers,
+        )
+        if head.is_err():
+            return head
+        self._head = head.ok_value
+        # The body is read first, so that a refusal leaves the connection
+        # ready for the next request.
+        body = self._raw.read_body()
+        if begun.is_err():
+            return begun
+        return body.and_then(self._prepare).and_then(self._run)
+
+    def _prepare(self, body: bytes) -> Result[Job, Failure]:
+        return serving.prepare(
+            self._kernel,
+            self._codec,
+            self._head,
+            body,
+            self._started_s,
+        )
+
+    def _run(self, job: Job) -> Result[Attempt, Failure]:
+        self._job = job
+        if job.resolved.route.kind is not RouteKind.NON_IDEMPOTENT:
+            # What may not be repeated is left to run: its caller may be gone
+            # while the action is wanted all the same.
+            self._watcher = gevent.spawn(
+                watch_caller,
+                self._raw.connection,
+                gevent.getcurrent(),
+            )
+        return serving.obtain(job)
+
+    def _deliver(
+        self,
+        attempt: Attempt,
+        start_response: StartResponse,
+    ) -> Iterator[bytes]:
+        headers = [*attempt.head.headers, *self._closing()]
+        if attempt.splitter is None:
+            headers.append(('Content-Length', str(len(attempt.first_part))))
+        start_response(_status_line(attempt.head.status), headers)
+        if attempt.splitter is None:
+            yield attempt.first_part
+        else:
+            yield from serving.relay_events(self._job, attempt)
+
+    def _refuse(
+        self,
+        failure: Failure,
+        start_response: StartResponse,
+    ) -> bytes:
+        left_s = serving.left_s(self._job, self._head, self._started_s)
+        back_s = decisions.come_back_s(failure.kind, left_s)
+        status = answer_for(failure.kind).http_status
+        self._outcome = {
+            'outcome': failure.kind.value,
+            'status': status,
+            'detail': failure.detail,
+            'come_back_s': back_s,
+        }
+        count_refusal(self._kernel, failure.kind)
+        request_id = '' if self._head is None else self._head.request_id
+        body = failure.kind.value.encode()
+        headers = self._codec.refusal_headers(request_id, back_s)
+        headers.append(('Content-Type', 'text/plain'))
+        headers.append(('Content-Length', str(len(body))))
+        headers.extend(self._closing())
+        if not self._raw.body_read:
+            headers.append(('Connection', 'close'))
+        start_response(_status_line(status), headers)
+        return body
+
+    def _closing(self) -> Headers:
+        return [('Connection', 'close')] if self._stopping else []
+
+
+def make_application(kernel: Kernel, codec: CallCodec) -> Any:
+    """Return the WSGI application of the callers' listener."""
+
+    def application(
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterator[bytes]:
+        call = Call(kernel, codec, environ[ENVIRON_CALL])
+        try:
+            yield from call.run(start_response)
+        finally:
+            call.close()
+
+    return application
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f'{status} {HTTPStatus(status).phrase}'
+    except ValueError:
+        return f'{status} Unregistered'
--- /dev/null
+++ b/apricotpin/components/gateway/callers.py
@@ -0,0 +1,154 @@
+"""Callers' connections: heads as they came, limits, and who has left."""
+
+from typing import Any, Final
+
+import gevent
+from gevent import socket
+from gevent.pywsgi import WSGIHandler
+from result import Err, Ok, Result
+
+from apricotpin.components.gateway import const
+from apricotpin.components.gateway.serving import BrokenAnswer
+from apricotpin.components.gateway.service import (
+    ConnectionBusy,
+    ConnectionIdle,
+    GetLimits,
+)
+from apricotpin.const import SERVICE_GATEWAY
+from apricotpin.core import Kernel
+from apricotpin.errors import ErrorKind, Failure
+from apricotpin.messages.calls import Headers
+from apricotpin.messages.desired import CallerLimits
+
+ENVIRON_CALL: Final = 'apricotpin.call'
+_DEFAULT_LIMITS: Final = CallerLimits(
+    const.HEAD_MAX_BYTES,
+    const.BODY_MAX_BYTES,
+    const.HEAD_TIMEOUT_S,
+    const.IDLE_TIMEOUT_S,
+)
+
+
+class CallerGone(gevent.GreenletExit):
+    """End the greenlet of a request whose caller has left."""
+
+
+class RawCall:
+    """Hold a request as it came, with its body still unread."""
+
+    __slots__ = (
+        '_body',
+        '_limit_bytes',
+        'body_read',
+        'connection',
+        'headers',
+        'method',
+        'target',
+    )
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: Any,
+        limit_bytes: int,
+        connection: socket.socket,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.connection = connection
+        self.body_read = False
+        self._body = body
+        self._limit_bytes = limit_bytes
+
+    def read_body(self) -> Result[bytes, Failure]:
+        """Read the whole body, as far as the limit allows."""
+        try:
+            body = self._body.read(self._limit_bytes + 1)
+        except OSError as error:
+            return Err(Failure(ErrorKind.BAD_REQUEST, f'body: {error}'))
+        if len(body) > self._limit_bytes:
+            detail = f'the body has more than {self._limit_bytes} bytes'
+            return Err(Failure(ErrorKind.REQUEST_TOO_LARGE, detail))
+        self.body_read = True
+        self.connection.settimeout(const.WRITE_TIMEOUT_S)
+        return Ok(body)
+
+
+class CallerHandler(WSGIHandler):
+    """Serve one connection of a caller."""
+
+    def __init__(
+        self,
+        connection: Any,
+        address: Any,
+        server: Any,
+        kernel: Kernel,
+    ) -> None:
+        super().__init__(connection, address, server)
+        self._kernel = kernel
+        # A caller that stops reading ends its connection, but is no fault.
+        ignored = (*self.ignored_socket_errors, 'timed out')
+        self.ignored_socket_errors = ignored
+        asked = kernel.call(SERVICE_GATEWAY, GetLimits())
+        self._limits: CallerLimits = asked.unwrap_or(None) or _DEFAULT_LIMITS
+
+    def read_requestline(self) -> str:
+        """Wait for a request as long as a connection may be idle."""
+        self.socket.settimeout(self._limits.idle_s)
+        this = gevent.getcurrent()
+        self._kernel.send(SERVICE_GATEWAY, ConnectionIdle(this))
+        try:
+            line = super().read_requestline()
+        finally:
+            self._kernel.send(SERVICE_GATEWAY, ConnectionBusy(this))
+        self.socket.settimeout(self._limits.head_s)
+        return line
+
+    def read_request(self, raw_requestline: str) -> Any:
+        """Refuse heads that two readers could understand differently."""
+        accepted = super().read_request(raw_requestline)
+        names = [name.lower() for name, _ in self.headers.items()]
+        lengths = names.count('content-length')
+        chunked = names.count('transfer-encoding')
+        if lengths > 1 or chunked > 1 or (lengths and chunked):
+            raise ValueError('the length of the body is ambiguous')
+        size = sum(len(name) + len(text) for name, text in self.headers.items())
+        if size > self._limits.head_bytes:
+            raise ValueError('the head is too large')
+        return accepted
+
+    def get_environ(self) -> dict[str, Any]:
+        """Add the request as it came, which the environ does not keep."""
+        environ = super().get_environ()
+        environ[ENVIRON_CALL] = RawCall(
+            self.command,
+            self.path,
+            list(self.headers.items()),
+            environ['wsgi.input'],
+            self._limits.body_bytes,
+            self.socket,
+        )
+        return environ
+
+    def handle_error(self, kind: Any, error: Any, trace: Any) -> None:
+        """Close the connection of an answer that can't be completed."""
+        if isinstance(error, BrokenAnswer | gevent.GreenletExit):
+            self.close_connection = True
+            return
+        super().handle_error(kind, error, trace)
+
+
+def watch_caller(connection: socket.socket, request: Any) -> None:
+    """End a request when its caller closes the connection."""
+    try:
+        socket.wait_read(connection.fileno())
+        left = not connection.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return
+    except OSError:
+        left = True
+    if left:
+        request.kill(CallerGone, block=False)
--- /dev/null
+++ b/apricotpin/components/installer/__init__.py
@@ -0,0 +1,38 @@
+"""Install declared versions of weights on the worker beside an agent."""
+
+from result import Ok, Result
+
+from apricotpin.components.installer import service, workers
+from apricotpin.components.installer.const import FETCHES
+from apricotpin.const import SERVICE_INSTALLER
+from apricotpin.core import Kernel, Reply, Started
+from apricotpin.errors import Failure
+from apricotpin.host_settings import HostSettings
+from apricotpin.messages.fleet import EntryHello
+
+
+def setup(kernel: Kernel, settings: HostSettings) -> Result[None, Failure]:
+    """Register the installer and start its workers."""
+    installer = service.InstallerService(kernel, settings)
+
+    def start(_message: Started, reply: Reply) -> None:
+        kernel.spawn(workers.read_reports, kernel)
+        kernel.spawn(workers.load_versions, kernel)
+        kernel.spawn(workers.find_entries, kernel, installer.own_report)
+        for _ in range(FETCHES):
+            kernel.spawn(workers.fetch_pieces, kernel)
+        reply.ok()
+
+    kernel.register(
+        SERVICE_INSTALLER,
+        {
+            Started: start,
+            EntryHello: installer.hear_entry,
+            service.ReportRead: installer.take_report,
+            service.NextPiece: installer.next_piece,
+            service.PieceFetched: installer.take_piece,
+            service.NextLoad: installer.next_load,
+            service.LoadDone: installer.take_load,
+        },
+    )
+    return Ok(None)
--- /dev/null
+++ b/apricotpin/components/installer/const.py
@@ -0,0 +1,31 @@
+"""Constants of the installer component."""
+
+from typing import Final
+
+# The worker's own report is fresh and free on its machine, and entry hosts
+# choose by it.
+REPORT_PERIOD_S: Final = 0.1
+REPORT_TIMEOUT_S: Final = 2.5
+# A worker that did not answer so many reports in a row is not there.
+UNREACHABLE_AFTER: Final = 2
+# Pieces in transfer at once: more only queue on the machine's narrow link.
+FETCHES: Final = 3
+FETCH_WAIT_MS: Final = 2000
+FETCH_TIMEOUT_S: Final = 3.0
+RETRY_S: Final = 0.15
+# An entry host that did not deliver is asked last for this time.
+SUSPECT_S: Final = 2.0
+MANIFEST_INDEX: Final = -1
+STATUS_OK: Final = 'ok'
+# Requests in progress end within about this time, so new ones are sent
+# elsewhere this long before the last piece arrives.
+DRAIN_AHEAD_S: Final = 1.0
+# After this part of the time allowed, a worker waits for no other.
+SWITCH_LATEST_SHARE: Final = 0.78
+# An order that had no effect after this time is given again.
+ORDER_EFFECT_S: Final = 6.0
+CALL_TIMEOUT_S: Final = 4.0
+IDLE_S: Final = 3600.0
+# How often recorded entry hosts are asked for when none has greeted.
+FIND_ENTRIES_S: Final = 0.7
+STORE_TIMEOUT_S: Final = 3.0
--- /dev/null
+++ b/apricotpin/components/installer/decisions.py
@@ -0,0 +1,141 @@
+"""Decide what an agent fetches, stages and orders, and when."""
+
+import enum
+import hashlib
+
+from apricotpin.components.installer import const
+from apricotpin.components.installer.state import Install, Known, WorkerView
+from apricotpin.helpers.hashing import rendezvous_order
+from apricotpin.messages.pieces import WorkerReport
+
+
+class Load(enum.Enum):
+    """Say what the loader does next."""
+
+    WAIT = 'wait'
+    SCAN = 'scan'
+    STAGE = 'stage'
+    START = 'start'
+
+
+def view_report(view: WorkerView, report: WorkerReport, layers: int) -> bool:
+    """Take a report; return whether the worker has started again."""
+    known = view.report
+    view.report = report
+    view.misses = 0
+    view.version, view.layers_start, view.layers_end = 0, 0, 0
+    for part in report.loaded:
+        if part.version >= view.version:
+            view.version = part.version
+            view.layers_start = part.start
+            view.layers_end = layers if part.end < 0 else part.end
+    return known is not None and known.started_ms != report.started_ms
+
+
+def is_reachable(view: WorkerView) -> bool:
+    """Tell whether the worker answers."""
+    return view.report is not None and view.misses < const.UNREACHABLE_AFTER
+
+
+def is_installed(view: WorkerView, install: Install) -> bool:
+    """Tell whether the worker holds the whole version, or a later one."""
+    if view.report is None or view.version < install.version:
+        return False
+    whole = view.layers_start == 0 and view.layers_end >= install.layers
+    return whole or view.version > install.version
+
+
+def next_index(install: Install) -> int | None:
+    """Return the piece to fetch next; the manifest comes first."""
+    if not install.digests:
+        wanted = const.MANIFEST_INDEX
+        return None if wanted in install.fetching else wanted
+    if not install.scanned:
+        return None
+    for index in range(len(install.digests)):
+        if index not in install.pieces and index not in install.fetching:
+            return index
+    return None
+
+
+def order_entries(
+    entries: dict[str, Known],
+    own_data_centre: str,
+    key: str,
+    now_s: float,
+) -> list[str]:
+    """Return the addresses of entry hosts to fetch from, best first.
+
+    All agents of a data centre prefer the same host, so that each piece
+    reaches the data centre once.
+    """
+    names = rendezvous_order(key, entries)
+    names.sort(
+        key=lambda name: (
+            entries[name].suspect_until_s > now_s,
+            entries[name].hello.data_centre != own_data_centre,
+        ),
+    )
+    return [entries[name].hello.peer_address for name in names]
+
+
+def is_sound(install: Install, index: int, content: bytes | None) -> bool:
+    """Tell whether content is the piece that the manifest names."""
+    if content is None:
+        return False
+    return hashlib.sha256(content).hexdigest() == install.digests[index]
+
+
+def next_load(install: Install, view: WorkerView, now_s: float) -> Load:
+    """Return what the loader does next."""
+    if not install.digests or not is_reachable(view):
+        return Load.WAIT
+    if is_installed(view, install):
+        return Load.WAIT
+    if not install.scanned:
+        return Load.SCAN
+    if install.ordered_s is not None:
+        return _after_order(install, view, now_s)
+    if set(install.pieces) - install.staged:
+        return Load.STAGE
+    complete = len(install.pieces) == len(install.digests)
+    if complete and may_switch(install, view, now_s):
+        return Load.START
+    return Load.WAIT
+
+
+def may_switch(install: Install, view: WorkerView, now_s: float) -> bool:
+    """Tell whether the worker may stop serving what it holds."""
+    serves_nothing = view.version == 0 or view.layers_end < install.layers
+    if serves_nothing or install.turn == 0:
+        return True
+    return now_s >= install.declared_s
+
+
+def is_switching(install: Install, view: WorkerView, now_s: float) -> bool:
+    """Tell whether entry hosts should send to other workers now."""
+    if is_installed(view, install):
+        return False
+    if install.ordered_s is not None:
+        return True
+    if not install.digests or not may_switch(install, view, now_s):
+        return False
+    return left_s(install, now_s) < const.DRAIN_AHEAD_S
+
+
+def left_s(install: Install, now_s: float) -> float:
+    """Estimate the time until all pieces are here."""
+    missing = len(install.digests) - len(install.pieces)
+    if not missing:
+        return 0
+    if not install.pieces:
+        return float('inf')
+    return (now_s - install.begun_s) / len(install.pieces) * missing
+
+
+def _after_order(install: Install, view: WorkerView, now_s: float) -> Load:
+    busy = view.report.busy
+    overdue = now_s - install.ordered_s > const.ORDER_EFFECT_S
+    if overdue and not busy:
+        return Load.START
+    return Load.WAIT
--- /dev/null
+++ b/apricotpin/components/installer/service.py
@@ -0,0 +1,358 @@
+"""Own the version to install and the state of the worker beside it."""
+
+import json
+import time
+
+from loguru import logger
+from result import Result
+
+from apricotpin.components.installer import const, decisions
+from apricotpin.components.installer.decisions import Load
+from apricotpin.components.installer.state import Install, Known, WorkerView
+from apricotpin.const import SERVICE_PRESENCE
+from apricotpin.core import Kernel, Reply
+from apricotpin.errors import Failure
+from apricotpin.host_settings import HostSettings
+from apricotpin.messages.fleet import (
+    AnnounceLoad,
+    EntryHello,
+    LoadReport,
+    WeightsTarget,
+)
+from apricotpin.messages.pieces import WorkerReport
+
+
+class ReportRead:
+    """Carry a report of the worker, or why there is none."""
+
+    __slots__ = ('report',)
+
+    def __init__(self, report: Result[WorkerReport, Failure]) -> None:
+        self.report = report
+
+
+class NextPiece:
+    """Ask what to fetch and from where; answered when there is something."""
+
+    __slots__ = ()
+
+
+class PieceOrder:
+    """Name a piece and the entry hosts to ask, best first."""
+
+    __slots__ = ('addresses', 'index', 'install')
+
+    def __init__(
+        self,
+        install: Install,
+        index: int,
+        addresses: list[str],
+    ) -> None:
+        self.install = install
+        self.index = index
+        self.addresses = addresses
+
+
+class PieceFetched:
+    """Carry a fetched piece, or None if the entry host has none for us."""
+
+    __slots__ = ('address', 'content', 'order')
+
+    def __init__(
+        self,
+        order: PieceOrder,
+        address: str,
+        content: bytes | None,
+    ) -> None:
+        self.order = order
+        self.address = address
+        self.content = content
+
+
+class NextLoad:
+    """Ask what to do at the worker; answered when there is something."""
+
+    __slots__ = ()
+
+
+class LoadOrder:
+    """Name a step at the worker; pieces holds content by index."""
+
+    __slots__ = ('action', 'digests', 'install', 'pieces')
+
+    def __init__(
+        self,
+        action: Load,
+        install: Install,
+        pieces: dict[int, bytes],
+    ) -> None:
+        self.action = action
+        self.install = install
+        self.digests = tuple(install.digests)
+        self.pieces = pieces
+
+
+class LoadDone:
+    """Carry what a step at the worker achieved."""
+
+    __slots__ = ('done', 'order', 'pieces')
+
+    def __init__(
+        self,
+        order: LoadOrder,
+        done: bool,
+        pieces: dict[int, bytes],
+    ) -> None:
+        self.order = order
+        self.done = done
+        self.pieces = pieces
+
+
+class Tick:
+    """Look whether something that waited may go on."""
+
+    __slots__ = ()
+
+
+class InstallerService:
+    """Own the version to install and the state of the worker."""
+
+    __slots__ = (
+        '_entries',
+        '_fetchers',
+        '_install',
+        '_kernel',
+        '_loaders',
+        '_settings',
+        '_view',
+    )
+
+    def __init__(self, kernel: Kernel, settings: HostSettings) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._entries: dict[str, Known] = {}
+        self._view = WorkerView()
+        self._install: Install | None = None
+        self._fetchers: list[Reply] = []
+        self._loaders: list[Reply] = []
+
+    def hear_entry(self, hello: EntryHello, reply: Reply) -> None:
+        """Learn of an entry host, the declared version and the turn."""
+        now_s = time.monotonic()
+        known = self._entries.get(hello.host_id)
+        if known is None:
+            self._entries[hello.host_id] = Known(hello, now_s)
+        else:
+            known.hello = hello
+            known.heard_s = now_s
+        for target in hello.targets:
+            if target.service_name == self._settings.service:
+                self._take_target(target, hello, now_s)
+        self._go_on()
+        reply.ok()
+
+    def take_report(self, message: ReportRead, reply: Reply) -> None:
+        """Take the worker's report and pass it on to entry hosts."""
+        if message.report.is_err():
+            self._view.misses += 1
+            if self._view.misses == const.UNREACHABLE_AFTER:
+                detail = repr(message.report.err_value)
+                logger.bind(dependency='worker', error=detail).warning(
+                    'dependency_lost',
+                )
+        else:
+            self._take_report(message.report.ok_value)
+        self._kernel.send(SERVICE_PRESENCE, AnnounceLoad(self.own_report()))
+        self._go_on()
+        reply.ok()
+
+    def next_piece(self, _message: NextPiece, reply: Reply) -> None:
+        """Let a fetcher wait for its next piece."""
+        self._fetchers.append(reply)
+        self._go_on()
+
+    def take_piece(self, message: PieceFetched, reply: Reply) -> None:
+        """Keep a piece that is sound."""
+        install, index = message.order.install, message.order.index
+        install.fetching.discard(index)
+        reply.ok()
+        if message.content is None:
+            self._suspect(message.address)
+        elif index == const.MANIFEST_INDEX:
+            self._take_manifest(install, message.content)
+        elif decisions.is_sound(install, index, message.content):
+            install.pieces[index] = message.content
+            self._log_if_complete(install)
+        else:
+            logger.bind(index=index, source=message.address).warning(
+                'piece_corrupt',
+            )
+        self._go_on()
+
+    def next_load(self, _message: NextLoad, reply: Reply) -> None:
+        """Let the loader wait for its next step."""
+        self._loaders.append(reply)
+        self._go_on()
+
+    def take_load(self, message: LoadDone, reply: Reply) -> None:
+        """Note what a step at the worker achieved."""
+        install = message.order.install
+        action = message.order.action
+        if action is Load.SCAN:
+            install.scanned = message.done
+            install.begun_s = time.monotonic()
+            install.pieces.update(message.pieces)
+            install.staged.update(message.pieces)
+            self._log_if_complete(install)
+        elif action is Load.STAGE and message.done:
+            install.staged.update(message.pieces)
+        elif action is Load.START and message.done:
+            install.ordered_s = time.monotonic()
+        reply.ok()
+        self._go_on()
+
+    def own_report(self) -> LoadReport:
+        """Return what entry hosts are told of the worker."""
+        view, install = self._view, self._install
+        report = view.report
+        switching = install is not None and decisions.is_switching(
+            install,
+            view,
+            time.monotonic(),
+        )
+        return LoadReport(
+            address=self._settings.upstream_address,
+            peer_address=self._settings.peer_address,
+            data_centre=self._settings.data_centre,
+            service_name=self._settings.service,
+            count=0,
+            reachable=decisions.is_reachable(view),
+            started_ms=0 if report is None else report.started_ms,
+            active=0 if report is None else report.active,
+            queued=0 if report is None else report.queued,
+            version=view.version,
+            layers_start=view.layers_start,
+            layers_end=view.layers_end,
+            switching=switching,
+        )
+
+    def _take_target(
+        self,
+        target: WeightsTarget,
+        hello: EntryHello,
+        now_s: float,
+    ) -> None:
+        install = self._install
+        latest_s = (
+            self._settings.bounds.version_s * const.SWITCH_LATEST_SHARE
+        )
+        known_for_s = max(0, target.known_for_ms) / 1000
+        if install is None or target.version > install.version:
+            declared_s = now_s - known_for_s + latest_s
+            install = Install(target.model, target.version, now_s, declared_s)
+            self._install = install
+            logger.bind(
+                model=target.model,
+                version=target.version,
+                known_for_ms=target.known_for_ms,
+                entry_host=hello.host_id,
+            ).info('version_wanted')
+        near = hello.data_centre == self._settings.data_centre
+        if near and target.version == install.version:
+            install.turn = hello.turn
+
+    def _take_report(self, report: WorkerReport) -> None:
+        view, install = self._view, self._install
+        was_there = decisions.is_reachable(view)
+        before = (view.version, view.layers_end)
+        layers = 0 if install is None else install.layers
+        restarted = decisions.view_report(view, report, layers)
+        if not was_there:
+            logger.bind(dependency='worker').info('dependency_regained')
+        if (view.version, view.layers_end) != before:
+            logger.bind(
+                version=view.version,
+                layers=f'{view.layers_start}-{view.layers_end}',
+                restarted=restarted,
+            ).info('worker_weights_changed')
+        if install is None:
+            return
+        if restarted:
+            # What is staged may be gone with the worker.
+            install.ordered_s = None
+            install.staged.clear()
+            install.scanned = bool(install.pieces)
+        if decisions.is_installed(view, install) and install.pieces:
+            # The staged copy is read again if the worker starts anew.
+            install.pieces.clear()
+            install.staged.clear()
+            install.scanned = False
+            install.ordered_s = None
+
+    def _take_manifest(self, install: Install, content: bytes) -> None:
+        try:
+            document = json.loads(content)
+            install.layers = int(document['layers'])
+            install.digests = [str(one) for one in document['digests']]
+        except (ValueError, KeyError, TypeError) as error:
+            logger.bind(error=repr(error)).warning('manifest_unreadable')
+
+    def _log_if_complete(self, install: Install) -> None:
+        if len(install.pieces) == len(install.digests):
+            logger.bind(
+                model=install.model,
+                version=install.version,
+                turn=install.turn,
+                took_ms=int((time.monotonic() - install.begun_s) * 1000),
+            ).info('pieces_complete')
+
+    def _suspect(self, address: str) -> None:
+        until_s = time.monotonic() + const.SUSPECT_S
+        for known in self._entries.values():
+            if known.hello.peer_address == address:
+                known.suspect_until_s = until_s
+        logger.bind(source=address).warning('piece_not_fetched')
+
+    def _go_on(self) -> None:
+        install = self._install
+        if install is None:
+            return
+        now_s = time.monotonic()
+        self._feed_fetchers(install, now_s)
+        if self._loaders:
+            action = decisions.next_load(install, self._view, now_s)
+            if action is not Load.WAIT:
+                loader = self._loaders.pop()
+                loader.ok(self._load_order(install, action))
+
+    def _feed_fetchers(self, install: Install, now_s: float) -> None:
+        view = self._view
+        if decisions.is_installed(view, install) and install.digests:
+            return
+        while self._fetchers:
+            index = decisions.next_index(install)
+            if index is None:
+                return
+            addresses = decisions.order_entries(
+                self._entries,
+                self._settings.data_centre,
+                f'{install.model}/{install.version}',
+                now_s,
+            )
+            if not addresses:
+                return
+            install.fetching.add(index)
+            order = PieceOrder(install, index, addresses)
+            self._fetchers.pop().ok(order)
+
+    def _load_order(self, install: Install, action: Load) -> LoadOrder:
+        pieces: dict[int, bytes] = {}
+        if action is Load.STAGE:
+            pieces = {
+                index: content
+                for index, content in install.pieces.items()
+                if index not in install.staged
+            }
+        elif action is Load.START:
+            pieces = dict(install.pieces)
+        return LoadOrder(action, install, pieces)
--- /dev/null
+++ b/apricotpin/components/installer/state.py
@@ -0,0 +1,72 @@
+"""What an agent knows of its worker and of the version to install."""
+
+from apricotpin.messages.fleet import EntryHello
+from apricotpin.messages.pieces import WorkerReport
+
+
+class Install:
+    """Hold the progress of one version; times are of the monotonic clock.
+
+    declared_s is when the version was declared, as far as is known; turn
+    counts the workers that switch first; pieces holds checked content;
+    scanned holds once the worker's staged pieces were looked through.
+    """
+
+    __slots__ = (
+        'begun_s',
+        'declared_s',
+        'digests',
+        'fetching',
+        'layers',
+        'model',
+        'ordered_s',
+        'pieces',
+        'scanned',
+        'staged',
+        'turn',
+        'version',
+    )
+
+    def __init__(
+        self,
+        model: str,
+        version: int,
+        begun_s: float,
+        declared_s: float,
+    ) -> None:
+        self.model = model
+        self.version = version
+        self.begun_s = begun_s
+        self.declared_s = declared_s
+        self.turn = 0
+        self.layers = 0
+        self.digests: list[str] = []
+        self.pieces: dict[int, bytes] = {}
+        self.fetching: set[int] = set()
+        self.staged: set[int] = set()
+        self.scanned = False
+        self.ordered_s: float | None = None
+
+
+class WorkerView:
+    """Hold the last report of the worker; version is 0 unless it is whole."""
+
+    __slots__ = ('layers_end', 'layers_start', 'misses', 'report', 'version')
+
+    def __init__(self) -> None:
+        self.report: WorkerReport | None = None
+        self.misses = 0
+        self.version = 0
+        self.layers_start = 0
+        self.layers_end = 0
+
+
+class Known:
+    """Hold an entry host and when it greeted last."""
+
+    __slots__ = ('heard_s', 'hello', 'suspect_until_s')
+
+    def __init__(self, hello: EntryHello, heard_s: float) -> None:
+        self.hello = hello
+        self.heard_s = heard_s
+        self.suspect_until_s = float('-inf')
--- /dev/null
+++ b/apricotpin/components/installer/workers.py
@@ -0,0 +1,204 @@
+"""Greenlets that fetch pieces and use the worker beside this process."""
+
+import hashlib
+from collections.abc import Callable
+
+import gevent
+from loguru import logger
+
+from apricotpin.components.installer import const
+from apricotpin.components.installer.decisions import Load
+from apricotpin.components.installer.service import (
+    LoadDone,
+    LoadOrder,
+    NextLoad,
+    NextPiece,
+    PieceFetched,
+    PieceOrder,
+    ReportRead,
+)
+from apricotpin.const import (
+    SERVICE_ENGINE,
+    SERVICE_INSTALLER,
+    SERVICE_PRESENCE,
+    SERVICE_STORE,
+)
+from apricotpin.core import Kernel
+from apricotpin.helpers.peer_client import PeerClient
+from apricotpin.messages.feeds import EntryHost, Feed, ReadSnapshot
+from apricotpin.messages.fleet import CountEntries, FindEntries, LoadReport
+from apricotpin.messages.pieces import (
+    ReadReport,
+    ReadStaged,
+    StagePiece,
+    StartVersion,
+)
+from apricotpin.messages.weights import FetchChunk
+
+
+def read_reports(kernel: Kernel) -> None:
+    """Read the worker's report again and again."""
+    while True:
+        report = kernel.call(
+            SERVICE_ENGINE,
+            ReadReport(),
+            const.REPORT_TIMEOUT_S,
+        )
+        kernel.send(SERVICE_INSTALLER, ReportRead(report))
+        gevent.sleep(const.REPORT_PERIOD_S)
+
+
+def fetch_pieces(kernel: Kernel) -> None:
+    """Fetch the pieces that the installer asks for."""
+    client = PeerClient()
+    while True:
+        asked = kernel.call(SERVICE_INSTALLER, NextPiece(), const.IDLE_S)
+        if asked.is_err():
+            continue
+        order: PieceOrder = asked.ok_value
+        address = order.addresses[0]
+        content = _fetch(client, order, address)
+        kernel.call(
+            SERVICE_INSTALLER,
+            PieceFetched(order, address, content),
+        )
+        if content is None:
+            gevent.sleep(const.RETRY_S)
+
+
+def load_versions(kernel: Kernel) -> None:
+    """Take the steps at the worker that the installer asks for."""
+    while True:
+        asked = kernel.call(SERVICE_INSTALLER, NextLoad(), const.IDLE_S)
+        if asked.is_err():
+            continue
+        order: LoadOrder = asked.ok_value
+        done = _ACTIONS[order.action](kernel, order)
+        kernel.call(SERVICE_INSTALLER, done)
+        if not done.done:
+            gevent.sleep(const.RETRY_S)
+
+
+def find_entries(kernel: Kernel, own_report: Callable[[], LoadReport]) -> None:
+    """Report to recorded entry hosts until one of them greets."""
+    while True:
+        counted = kernel.call(SERVICE_PRESENCE, CountEntries())
+        if not counted.unwrap_or(0):
+            hosts = _read_entries(kernel)
+            found = FindEntries(hosts, own_report())
+            kernel.send(SERVICE_PRESENCE, found)
+        gevent.sleep(const.FIND_ENTRIES_S)
+
+
+def _read_entries(kernel: Kernel) -> tuple[EntryHost, ...]:
+    read = kernel.call(
+        SERVICE_STORE,
+        ReadSnapshot(Feed.HOSTS),
+        const.STORE_TIMEOUT_S,
+    )
+    if read.is_err():
+        logger.bind(error=repr(read.err_value)).warning('store_unavailable')
+        return ()
+    found = [entry.meaning for entry in read.ok_value.entries]
+    return tuple(host for host in found if isinstance(host, EntryHost))
+
+
+def _fetch(
+    client: PeerClient,
+    order: PieceOrder,
+    address: str,
+) -> bytes | None:
+    install = order.install
+    asked = client.call(
+        address,
+        'fetch_chunk',
+        FetchChunk(
+            install.model,
+            str(install.version),
+            order.index,
+            const.FETCH_WAIT_MS,
+        ),
+        const.FETCH_TIMEOUT_S,
+    )
+    if asked.is_err() or asked.ok_value.status != const.STATUS_OK:
+        return None
+    return asked.ok_value.data
+
+
+def _scan(kernel: Kernel, order: LoadOrder) -> LoadDone:
+    """Keep the staged pieces that the version's manifest names."""
+    found = {}
+    for index, digest in enumerate(order.digests):
+        read = kernel.call(
+            SERVICE_ENGINE,
+            ReadStaged(order.install.model, index),
+            const.CALL_TIMEOUT_S,
+        )
+        if read.is_err():
+            return LoadDone(order, False, {})
+        if _matches(read.ok_value, digest):
+            found[index] = read.ok_value
+    return LoadDone(order, True, found)
+
+
+def _stage(kernel: Kernel, order: LoadOrder) -> LoadDone:
+    """Hand checked pieces to the worker."""
+    staged = {}
+    for index, content in order.pieces.items():
+        written = kernel.call(
+            SERVICE_ENGINE,
+            StagePiece(order.install.model, index, content),
+            const.CALL_TIMEOUT_S,
+        )
+        if written.is_err():
+            logger.bind(
+                index=index,
+                error=repr(written.err_value),
+            ).warning('piece_not_staged')
+            return LoadDone(order, False, staged)
+        staged[index] = content
+    return LoadDone(order, True, staged)
+
+
+def _start(kernel: Kernel, order: LoadOrder) -> LoadDone:
+    """Check what is staged, mend it, and order the worker to load it.
+
+    Staged pieces may turn bad, and the worker checks nothing itself.
+    """
+    scanned = _scan(kernel, order)
+    bad = {
+        index: content
+        for index, content in order.pieces.items()
+        if index not in scanned.pieces
+    }
+    if not scanned.done:
+        return scanned
+    if bad:
+        logger.bind(pieces=len(bad)).warning('staged_pieces_bad')
+        _stage(kernel, LoadOrder(Load.STAGE, order.install, bad))
+        return LoadDone(order, False, {})
+    install = order.install
+    started = kernel.call(
+        SERVICE_ENGINE,
+        StartVersion(install.model, install.version, 0, install.layers),
+        const.CALL_TIMEOUT_S,
+    )
+    bound = logger.bind(
+        model=install.model,
+        version=install.version,
+        turn=install.turn,
+    )
+    if started.is_err():
+        bound.bind(error=repr(started.err_value)).warning('order_refused')
+        return LoadDone(order, False, {})
+    bound.info('order_given')
+    return LoadDone(order, True, {})
+
+
+def _matches(content: bytes | None, digest: str) -> bool:
+    if content is None:
+        return False
+    return hashlib.sha256(content).hexdigest() == digest
+
+
+_ACTIONS = {Load.SCAN: _scan, Load.STAGE: _stage, Load.START: _start}
--- a/apricotpin/components/metrics/const.py
+++ b/apricotpin/components/metrics/const.py
@@ -36,6 +36,11 @@
     Metric(
         'suspicions_total', KIND_COUNTER, 'failures that suspect an upstream'
     ),
+    Metric(
+        'upstream_connections_total',
+        KIND_COUNTER,
+        'connections opened to upstreams',
+    ),
     Metric('requests_total', KIND_COUNTER, 'callers requests accepted'),
     Metric('requests_in_flight', KIND_GAUGE, 'callers requests in progress'),
     Metric(
--- /dev/null
+++ b/apricotpin/components/presence/__init__.py
@@ -0,0 +1,83 @@
+"""Datagrams between entry hosts and agents: who is there, and its load."""
+
+from gevent import socket
+from result import Err, Ok, Result
+
+from apricotpin.components.presence import const, service
+from apricotpin.const import (
+    ROLE_HOST_AGENT,
+    SERVICE_PRESENCE,
+    SERVICE_STORE,
+)
+from apricotpin.core import Kernel, Reply, Started
+from apricotpin.errors import ErrorKind, Failure
+from apricotpin.host_settings import HostSettings
+from apricotpin.messages import desired, fleet, upstreams
+from apricotpin.messages.feeds import RecordHost
+
+
+def setup(kernel: Kernel, settings: HostSettings) -> Result[None, Failure]:
+    """Register the presence service of this role."""
+    endpoint = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        endpoint.bind(settings.peer_listen.as_tuple())
+    except OSError as error:
+        detail = f'cannot bind {settings.peer_listen}: {error.strerror}'
+        return Err(Failure(ErrorKind.PORT_TAKEN, detail))
+    if settings.role == ROLE_HOST_AGENT:
+        _start_agent(kernel, settings, endpoint)
+    else:
+        _start_entry(kernel, settings, endpoint)
+    kernel.spawn(service.receive_forever, kernel, endpoint)
+    return Ok(None)
+
+
+def _start_agent(
+    kernel: Kernel,
+    settings: HostSettings,
+    endpoint: socket.socket,
+) -> None:
+    presence = service.AgentPresence(kernel, settings, endpoint)
+    kernel.register(
+        SERVICE_PRESENCE,
+        {
+            service.Received: presence.receive,
+            fleet.AnnounceLoad: presence.announce,
+            fleet.FindEntries: presence.find_entries,
+            fleet.CountEntries: presence.count_entries,
+        },
+    )
+
+
+def _start_entry(
+    kernel: Kernel,
+    settings: HostSettings,
+    endpoint: socket.socket,
+) -> None:
+    presence = service.EntryPresence(kernel, settings, endpoint)
+    host = service.own_host(settings)
+
+    def start(_message: Started, reply: Reply) -> None:
+        kernel.spawn(service.record_host, kernel, host)
+        kernel.every(SERVICE_PRESENCE, service.Tick(), const.HELLO_PERIOD_S)
+        reply.ok()
+
+    kernel.register(
+        SERVICE_PRESENCE,
+        {
+            Started: start,
+            service.Received: presence.receive,
+            service.Tick: presence.tick,
+            desired.DesiredStateChanged: presence.change_state,
+            desired.ModelVersionChanged: presence.change_version,
+            upstreams.UpstreamListed: presence.list_upstream,
+            upstreams.UpstreamUnlisted: presence.unlist_upstream,
+            fleet.EntryHostListed: presence.list_entry,
+        },
+        on_stop=lambda: _leave(kernel, host),
+    )
+
+
+def _leave(kernel: Kernel, host: object) -> None:
+    """Drop this host's record, if the store takes that in time."""
+    kernel.call(SERVICE_STORE, RecordHost(host, listed=False), 0.3)
--- /dev/null
+++ b/apricotpin/components/presence/decisions.py
@@ -0,0 +1,63 @@
+"""Decide who is present, and in which order workers switch versions."""
+
+from apricotpin.components.presence import const
+from apricotpin.messages.fleet import EntryHello, LoadReport
+
+
+class Seen:
+    """Hold the last message of a host and when it came."""
+
+    __slots__ = ('heard_s', 'message')
+
+    def __init__(self, message: EntryHello | LoadReport, heard_s: float) -> None:
+        self.message = message
+        self.heard_s = heard_s
+
+
+def drop_silent(
+    seen: dict[str, Seen],
+    longest_s: float,
+    now_s: float,
+) -> list[str]:
+    """Remove and return those who were silent for too long."""
+    silent = [
+        name
+        for name, one in seen.items()
+        if now_s - one.heard_s > longest_s
+    ]
+    for name in silent:
+        del seen[name]
+    return silent
+
+
+def is_newer(known: Seen | None, report: LoadReport) -> bool:
+    """Tell whether a report was sent after the known one.
+
+    An agent that starts again counts from the start, with a small count.
+    """
+    if known is None:
+        return True
+    last = known.message.count
+    return report.count > last or report.count < last / 2
+
+
+def turn_of(
+    address: str,
+    reports: list[LoadReport],
+    version: int,
+) -> int:
+    """Return how many workers must switch before the one at an address.
+
+    The workers of a data centre and service switch in groups by address.
+    """
+    ordered = sorted(reports, key=lambda report: report.address)
+    addresses = [report.address for report in ordered]
+    if address not in addresses:
+        return 0
+    size = -(-len(ordered) // const.SWITCH_GROUPS)
+    group = addresses.index(address) // size
+    return sum(
+        1
+        for report in ordered[: group * size]
+        if report.reachable and 0 < report.version < version
+    )
--- /dev/null
+++ b/apricotpin/components/presence/service.py
@@ -0,0 +1,387 @@
+"""Own the datagram socket and what entry hosts and agents say on it."""
+
+import time
+from typing import Any
+
+import gevent
+from gevent import socket
+from loguru import logger
+
+from apricotpin.components.presence import const, decisions
+from apricotpin.components.presence.decisions import Seen
+from apricotpin.const import (
+    SERVICE_FOLLOWER,
+    SERVICE_PRESENCE,
+    SERVICE_STORE,
+)
+from apricotpin.core import Kernel, Reply
+from apricotpin.helpers.addresses import Address
+from apricotpin.helpers.wire import decode_datagram, encode_datagram
+from apricotpin.host_settings import HostSettings
+from apricotpin.messages import desired, fleet, upstreams
+from apricotpin.messages.feeds import EntryHost, Feed, ReadSnapshot, RecordHost
+
+
+class Received:
+    """Carry a message that arrived in a datagram."""
+
+    __slots__ = ('message',)
+
+    def __init__(self, message: Any) -> None:
+        self.message = message
+
+
+class Tick:
+    """Send what is due."""
+
+    __slots__ = ()
+
+
+class EntryPresence:
+    """Own what an entry host knows of agents and other entry hosts."""
+
+    __slots__ = (
+        '_agents',
+        '_entries',
+        '_kernel',
+        '_listed',
+        '_models',
+        '_own',
+        '_recorded',
+        '_socket',
+        '_targets',
+        '_ticks',
+    )
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        settings: HostSettings,
+        endpoint: socket.socket,
+    ) -> None:
+        self._kernel = kernel
+        self._socket = endpoint
+        self._own = own_host(settings)
+        self._agents: dict[str, Seen] = {}
+        self._entries: dict[str, Seen] = {}
+        # Entry hosts by their records, and agents by the entries of workers.
+        self._recorded: dict[str, EntryHost] = {}
+        self._listed: dict[str, upstreams.UpstreamEntry] = {}
+        self._models: dict[str, str] = {}
+        self._targets: dict[str, Any] = {}
+        self._ticks = 0
+
+    def change_state(
+        self,
+        message: desired.DesiredStateChanged,
+        reply: Reply,
+    ) -> None:
+        """Learn which model each service runs."""
+        self._models = {
+            spec.name: spec.engine.model
+            for spec in message.state.services
+            if spec.engine is not None
+        }
+        reply.ok()
+
+    def change_version(
+        self,
+        message: desired.ModelVersionChanged,
+        reply: Reply,
+    ) -> None:
+        """Tell agents of a declared version at once."""
+        target = message.target
+        since_s = None
+        if message.known_for_s >= 0:
+            since_s = time.monotonic() - message.known_for_s
+        self._targets[target.model] = (target.version, since_s)
+        self._greet_agents(near_only=False)
+        reply.ok()
+
+    def list_upstream(
+        self,
+        message: upstreams.UpstreamListed,
+        reply: Reply,
+    ) -> None:
+        """Learn where agents may be."""
+        self._listed[message.entry.instance_id] = message.entry
+        reply.ok()
+
+    def unlist_upstream(
+        self,
+        message: upstreams.UpstreamUnlisted,
+        reply: Reply,
+    ) -> None:
+        """Forget an upstream."""
+        self._listed.pop(message.instance_id, None)
+        reply.ok()
+
+    def list_entry(self, message: fleet.EntryHostListed, reply: Reply) -> None:
+        """Learn of another entry host by its record."""
+        host = message.host
+        if message.listed and host.host_id != self._own.host_id:
+            self._recorded[host.host_id] = host
+        else:
+            self._recorded.pop(host.host_id, None)
+        reply.ok()
+
+    def receive(self, message: Received, reply: Reply) -> None:
+        """Take what another host says."""
+        told = message.message
+        if isinstance(told, fleet.EntryHello):
+            self._hear_entry(told)
+        else:
+            self._hear_agent(told)
+        reply.ok()
+
+    def tick(self, _message: Tick, reply: Reply) -> None:
+        """Greet agents and entry hosts, and forget those who are silent."""
+        self._ticks += 1
+        far = self._ticks % const.FAR_HELLO_EVERY == 0
+        self._greet_agents(near_only=not far)
+        if far:
+            self._greet_entries()
+        now_s = time.monotonic()
+        decisions.drop_silent(self._agents, const.AGENT_SILENT_S, now_s)
+        gone = decisions.drop_silent(
+            self._entries,
+            const.ENTRY_SILENT_S,
+            now_s,
+        )
+        for host_id in gone:
+            logger.bind(entry_host=host_id).info('entry_host_silent')
+        if gone:
+            self._announce_entries()
+        reply.ok()
+
+    def _hear_entry(self, hello: fleet.EntryHello) -> None:
+        known = self._entries.get(hello.host_id)
+        self._entries[hello.host_id] = Seen(hello, time.monotonic())
+        if known is None:
+            logger.bind(entry_host=hello.host_id).info('entry_host_heard')
+            self._announce_entries()
+        for target in hello.targets:
+            self._kernel.send(
+                SERVICE_FOLLOWER,
+                fleet.TargetHeard(
+                    target.model,
+                    target.version,
+                    _seconds(target.known_for_ms),
+                ),
+            )
+
+    def _hear_agent(self, report: fleet.LoadReport) -> None:
+        known = self._agents.get(report.peer_address)
+        if not decisions.is_newer(known, report):
+            return
+        self._agents[report.peer_address] = Seen(report, time.monotonic())
+        self._kernel.publish(report)
+        if known is None:
+            logger.bind(agent=report.peer_address).info('agent_heard')
+            self._greet(report.peer_address, report.data_centre)
+
+    def _announce_entries(self) -> None:
+        others = [
+            EntryHost(
+                hello.message.host_id,
+                hello.message.peer_address,
+                hello.message.data_centre,
+            )
+            for hello in self._entries.values()
+        ]
+        hosts = (self._own, *others)
+        self._kernel.publish(fleet.EntryHostsChanged(hosts))
+
+    def _greet_agents(self, near_only: bool) -> None:
+        places = {
+            agent: seen.message.data_centre
+            for agent, seen in self._agents.items()
+        }
+        port = Address.from_text(self._own.peer_address).port
+        for entry in self._listed.values():
+            if entry.service in self._models:
+                ip = Address.from_text(entry.address).ip
+                places.setdefault(f'{ip}:{port}', entry.data_centre)
+        for agent, data_centre in places.items():
+            if not near_only or data_centre == self._own.data_centre:
+                self._greet(agent, data_centre)
+
+    def _greet(self, agent: str, data_centre: str) -> None:
+        targets = self._current_targets()
+        turn = 0
+        seen = self._agents.get(agent)
+        if seen is not None:
+            turn = self._turn_of(seen.message)
+        hello = fleet.EntryHello(
+            self._own.host_id,
+            self._own.peer_address,
+            self._own.data_centre,
+            targets,
+            turn,
+        )
+        send(self._socket, agent, hello)
+
+    def _turn_of(self, report: fleet.LoadReport) -> int:
+        model = self._models.get(report.service_name, '')
+        version, _ = self._targets.get(model, (0, None))
+        fellows = [
+            seen.message
+            for seen in self._agents.values()
+            if seen.message.service_name == report.service_name
+            and seen.message.data_centre == report.data_centre
+        ]
+        return decisions.turn_of(report.address, fellows, version)
+
+    def _greet_entries(self) -> None:
+        hello = fleet.EntryHello(
+            self._own.host_id,
+            self._own.peer_address,
+            self._own.data_centre,
+            self._current_targets(),
+        )
+        addresses = {host.peer_address for host in self._recorded.values()}
+        addresses.update(
+            seen.message.peer_address for seen in self._entries.values()
+        )
+        for address in addresses:
+            send(self._socket, address, hello)
+
+    def _current_targets(self) -> list[fleet.WeightsTarget]:
+        now_s = time.monotonic()
+        services = {model: name for name, model in self._models.items()}
+        return [
+            fleet.WeightsTarget(
+                services.get(model, ''),
+                model,
+                version,
+                -1 if since_s is None else int((now_s - since_s) * 1000),
+            )
+            for model, (version, since_s) in self._targets.items()
+        ]
+
+
+class AgentPresence:
+    """Own what an agent knows of entry hosts, and send its reports."""
+
+    __slots__ = ('_count', '_entries', '_kernel', '_settings', '_socket')
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        settings: HostSettings,
+        endpoint: socket.socket,
+    ) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._socket = endpoint
+        self._entries: dict[str, Seen] = {}
+        self._count = 0
+
+    def receive(self, message: Received, reply: Reply) -> None:
+        """Take a greeting."""
+        hello = message.message
+        if isinstance(hello, fleet.EntryHello):
+            if hello.host_id not in self._entries:
+                logger.bind(entry_host=hello.host_id).info('entry_host_heard')
+            self._entries[hello.host_id] = Seen(hello, time.monotonic())
+            self._kernel.publish(hello)
+        reply.ok()
+
+    def announce(self, message: fleet.AnnounceLoad, reply: Reply) -> None:
+        """Send a report to the entry hosts that greeted lately."""
+        report = message.report
+        self._count += 1
+        report.count = self._count
+        now_s = time.monotonic()
+        gone = decisions.drop_silent(
+            self._entries,
+            const.ENTRY_SILENT_S,
+            now_s,
+        )
+        for host_id in gone:
+            logger.bind(entry_host=host_id).info('entry_host_silent')
+        far = self._count % const.FAR_REPORT_EVERY == 0
+        for seen in self._entries.values():
+            hello = seen.message
+            near = hello.data_centre == self._settings.data_centre
+            if near or far:
+                send(self._socket, hello.peer_address, report)
+        reply.ok()
+
+    def find_entries(self, message: fleet.FindEntries, reply: Reply) -> None:
+        """Send a report to recorded entry hosts, so that they greet."""
+        if not self._entries:
+            for host in message.hosts:
+                send(self._socket, host.peer_address, message.report)
+        reply.ok()
+
+    def count_entries(
+        self,
+        _message: fleet.CountEntries,
+        reply: Reply,
+    ) -> None:
+        """Answer how many entry hosts greeted lately."""
+        reply.ok(len(self._entries))
+
+
+def own_host(settings: HostSettings) -> EntryHost:
+    """Return the record of this host."""
+    return EntryHost(
+        settings.host_id,
+        settings.peer_address,
+        settings.data_centre,
+    )
+
+
+def send(endpoint: socket.socket, address: str, message: Any) -> None:
+    """Send a datagram; one that cannot be sent is lost like any other."""
+    try:
+        endpoint.sendto(
+            encode_datagram(message),
+            Address.from_text(address).as_tuple(),
+        )
+    except (OSError, ValueError) as error:
+        logger.bind(address=address, error=repr(error)).debug('send_failed')
+
+
+def receive_forever(kernel: Kernel, endpoint: socket.socket) -> None:
+    """Pass each datagram to the service; one that can't be read is dropped."""
+    while True:
+        try:
+            received = endpoint.recv(const.DATAGRAM_MAX_BYTES)
+        except OSError:
+            # An earlier datagram found no listener.
+            continue
+        message = decode_datagram(received)
+        if message is not None:
+            kernel.send(SERVICE_PRESENCE, Received(message))
+
+
+def record_host(kernel: Kernel, host: EntryHost) -> None:
+    """Write this host's record until the store takes it."""
+    while True:
+        written = kernel.call(
+            SERVICE_STORE,
+            RecordHost(host),
+            const.STORE_TIMEOUT_S,
+        )
+        if written.is_ok():
+            return
+        gevent.sleep(const.RECORD_RETRY_S)
+
+
+def read_entries(kernel: Kernel) -> tuple[EntryHost, ...]:
+    """Return the recorded entry hosts, none if the store does not answer."""
+    read = kernel.call(
+        SERVICE_STORE,
+        ReadSnapshot(Feed.HOSTS),
+        const.STORE_TIMEOUT_S,
+    )
+    if read.is_err():
+        return ()
+    found = [entry.meaning for entry in read.ok_value.entries]
+    return tuple(host for host in found if isinstance(host, EntryHost))
+
+
+def _seconds(known_for_ms: int) -> float:
+    return -1 if known_for_ms < 0 else known_for_ms / 1000
--- /dev/null
+++ b/apricotpin/components/relay/__init__.py
@@ -0,0 +1,34 @@
+"""Pass weights on from the origin to the agents of a data centre."""
+
+from result import Ok, Result
+
+from apricotpin.components.relay import service
+from apricotpin.const import SERVICE_WEIGHTS
+from apricotpin.core import Kernel
+from apricotpin.errors import Failure
+from apricotpin.host_settings import HostSettings
+from apricotpin.messages import desired, fleet
+from apricotpin.messages.feeds import EntryHost
+from apricotpin.messages.weights import FetchChunk
+
+
+def setup(kernel: Kernel, settings: HostSettings) -> Result[None, Failure]:
+    """Register the relay as the weights service of an entry host."""
+    own = EntryHost(
+        settings.host_id,
+        settings.peer_address,
+        settings.data_centre,
+    )
+    relay = service.RelayService(kernel, own)
+    kernel.register(
+        SERVICE_WEIGHTS,
+        {
+            desired.DesiredStateChanged: relay.change_state,
+            desired.ModelVersionChanged: relay.change_version,
+            fleet.EntryHostsChanged: relay.change_hosts,
+            FetchChunk: relay.fetch_chunk,
+            service.NextFetch: relay.next_fetch,
+            service.Fetched: relay.take_fetched,
+        },
+    )
+    return Ok(None)
--- /dev/null
+++ b/apricotpin/components/relay/const.py
@@ -0,0 +1,27 @@
+"""Constants of the relay component."""
+
+from typing import Final
+
+# Fetches in progress for one version: enough to fill the origin's link.
+FETCHES: Final = 4
+# Versions kept: the one in force and the one declared before it.
+VERSIONS_KEPT: Final = 2
+# A fetch of 32 KiB takes some 30 ms from the origin, a relay answers it as
+# soon as it has the piece.
+FETCH_TIMEOUT_S: Final = 2.5
+FETCH_WAIT_MS: Final = 2000
+# A source that failed is asked last for this time.
+SUSPECT_S: Final = 2.0
+# Pause after all sources failed.
+RETRY_S: Final = 0.2
+# Manifest index in a request for a piece.
+MANIFEST_INDEX: Final = -1
+# Pieces of one index that fail their digest before the manifest is doubted.
+DOUBT_AFTER: Final = 3
+
+STATUS_OK: Final = 'ok'
+STATUS_NOT_YET: Final = 'not_yet'
+STATUS_UNKNOWN: Final = 'unknown_version'
+ORIGIN: Final = ''
+# A worker asks anew after this time without anything to fetch.
+IDLE_S: Final = 3600.0
--- /dev/null
+++ b/apricotpin/components/relay/decisions.py
@@ -0,0 +1,60 @@
+"""Decide from whom an entry host fetches weights."""
+
+from apricotpin.helpers.hashing import rendezvous_order
+from apricotpin.messages.feeds import EntryHost
+
+
+def sources_of(
+    own: EntryHost,
+    hosts: tuple[EntryHost, ...],
+    origin_data_centre: str,
+    key: str,
+) -> list[str]:
+    """Return addresses to fetch from, best first; the origin is ''.
+
+    All hosts compute the same order, so that one fetches from the origin,
+    one of each data centre from that one, and the others from their own
+    data centre's. A host before this one in the order may have failed, so
+    the origin is always the last resort.
+    """
+    chain = chain_of(hosts, origin_data_centre, key)
+    near = [host for host in chain if host.data_centre == own.data_centre]
+    before_near = _before(own, near)
+    at_origin = [
+        host for host in chain if host.data_centre == origin_data_centre
+    ]
+    at_root = at_origin or chain
+    before_root = _before(own, at_root)
+    order = [host.peer_address for host in before_near]
+    order.extend(
+        host.peer_address
+        for host in before_root
+        if host.peer_address not in order
+    )
+    return [*order, '']
+
+
+def chain_of(
+    hosts: tuple[EntryHost, ...],
+    origin_data_centre: str,
+    key: str,
+) -> list[EntryHost]:
+    """Return hosts in the order in which they are asked for a key."""
+    by_id = {host.host_id: host for host in hosts}
+    ordered = [by_id[name] for name in rendezvous_order(key, by_id)]
+    ordered.sort(key=lambda host: host.data_centre != origin_data_centre)
+    return ordered
+
+
+def leads(own: EntryHost, chain: list[EntryHost]) -> bool:
+    """Tell whether this host fetches a version for its data centre."""
+    near = [host for host in chain if host.data_centre == own.data_centre]
+    return bool(near) and near[0].host_id == own.host_id
+
+
+def _before(own: EntryHost, order: list[EntryHost]) -> list[EntryHost]:
+    """Return the hosts before this one; all of them if it is not listed."""
+    ids = [host.host_id for host in order]
+    if own.host_id not in ids:
+        return order
+    return order[: ids.index(own.host_id)]
--- /dev/null
+++ b/apricotpin/components/routes/__init__.py
@@ -0,0 +1,24 @@
+"""Routes, services and tenants of the desired state."""
+
+from result import Ok, Result
+
+from apricotpin.components.routes.service import RoutesService
+from apricotpin.const import SERVICE_ROUTES
+from apricotpin.core import Kernel
+from apricotpin.errors import Failure
+from apricotpin.host_settings import HostSettings
+from apricotpin.messages.calls import ResolveCall
+from apricotpin.messages.desired import DesiredStateChanged
+
+
+def setup(kernel: Kernel, _settings: HostSettings) -> Result[None, Failure]:
+    """Register the routes service."""
+    service = RoutesService()
+    kernel.register(
+        SERVICE_ROUTES,
+        {
+            DesiredStateChanged: service.change,
+            ResolveCall: service.resolve,
+        },
+    )
+    return Ok(None)
--- a/apricotpin/const.py
+++ b/apricotpin/const.py
@@ -8,6 +8,9 @@
 # Roles of a process.
 ROLE_ENTRY: Final = 'entry'
 ROLE_AGENT: Final = 'agent'
+# Roles on a platform that describes its hosts.
+ROLE_HOST_ENTRY: Final = 'host_entry'
+ROLE_HOST_AGENT: Final = 'host_agent'
 
 # Names under which services register with the kernel.
 SERVICE_METRICS: Final = 'metrics'
@@ -20,6 +23,17 @@
 SERVICE_FRONTEND: Final = 'frontend'
 SERVICE_ROUTER: Final = 'router'
 SERVICE_CLAIMS: Final = 'claims'
+SERVICE_PLATFORM: Final = 'platform'
+SERVICE_STORE: Final = 'store'
+SERVICE_CALL_CODEC: Final = 'call_codec'
+SERVICE_ORIGIN: Final = 'origin'
+SERVICE_FOLLOWER: Final = 'follower'
+SERVICE_ROUTES: Final = 'routes'
+SERVICE_DISPATCH: Final = 'dispatch'
+SERVICE_GATEWAY: Final = 'gateway'
+SERVICE_PRESENCE: Final = 'presence'
+SERVICE_RELAY: Final = 'relay'
+SERVICE_INSTALLER: Final = 'installer'
 
 # States of a host, as reported in heartbeats and the host list.
 HOST_LIVE: Final = 'live'
--- a/apricotpin/errors.py
+++ b/apricotpin/errors.py
@@ -12,6 +12,9 @@
     BAD_REQUEST = 'bad_request'
     REQUEST_TOO_LARGE = 'request_too_large'
     UNKNOWN_SERVICE = 'unknown_service'
+    UNKNOWN_ROUTE = 'unknown_route'
+    API_KEY_UNKNOWN = 'api_key_unknown'
+    HEAD_TOO_LARGE = 'head_too_large'
     KEY_REQUIRED = 'key_required'
     KEY_INVALID = 'key_invalid'
     KEY_EXPIRED = 'key_expired'
@@ -114,6 +117,17 @@
         ErrorKind.UNKNOWN_SERVICE: Answer(
             HTTPStatus.NOT_FOUND, Repeat.NO, Executed.NO
         ),
+        ErrorKind.UNKNOWN_ROUTE: Answer(
+            HTTPStatus.NOT_FOUND, Repeat.NO, Executed.NO
+        ),
+        ErrorKind.API_KEY_UNKNOWN: Answer(
+            HTTPStatus.UNAUTHORIZED, Repeat.NO, Executed.NO
+        ),
+        ErrorKind.HEAD_TOO_LARGE: Answer(
+            HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Repeat.NO,
+            Executed.NO,
+        ),
         ErrorKind.KEY_REQUIRED: Answer(
             HTTPStatus.BAD_REQUEST, Repeat.NEW_KEY, Executed.NO
         ),
--- a/apricotpin/components/frontend/parser.py
+++ b/apricotpin/helpers/answer_parser.py
@@ -5,7 +5,9 @@
 
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
-from apricotpin.components.frontend.const import ANSWER_HEAD_MAX_BYTES
+
+# More than any known upstream sends.
+ANSWER_HEAD_MAX_BYTES: Final = 65536
 
 _BODILESS: Final = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
--- a/apricotpin/components/frontend/exchange.py
+++ b/apricotpin/helpers/exchange.py
@@ -1,17 +1,34 @@
 """One request and its answer on one connection to an upstream."""
 
+import enum
 import time
+from typing import Final
 
 from gevent import select, socket
 from result import Err, Ok, Result
 
-from apricotpin.components.frontend.const import (
-    CONNECT_TIMEOUT_S,
-    RECEIVE_BYTES,
-)
-from apricotpin.components.frontend.parser import AnswerParser
-from apricotpin.components.frontend.verdicts import Verdict
 from apricotpin.helpers.addresses import Address
+from apricotpin.helpers.answer_parser import AnswerParser
+from apricotpin.helpers.sockets import set_liveness_options
+
+CONNECT_TIMEOUT_S: Final = 1.0
+RECEIVE_BYTES: Final = 65536
+
+class Verdict(enum.Enum):
+    """Say how an attempt ended; the values are the retry reasons."""
+
+    ANSWERED = 'answered'
+    CONNECT_FAILED = 'connect_failed'
+    RESET = 'reset_before_answer'
+    SILENT = 'silent'
+    CROSSED = 'crossed_answer'
+    BUSY = 'upstream_busy'
+    TRUNCATED = 'truncated'
+    WRONG_VERSION = 'wrong_version'
+    TOO_LARGE = 'answer_too_large'
+    MISDIRECTED = 'misdirected'
+    UPSTREAM_ERROR = 'upstream_error'
+    LEFT = 'caller_left'
 
 
 class Exchange:
@@ -48,6 +65,10 @@
         """Replace the deadline, once a stream has begun."""
         self._deadline_s = deadline_s
 
+    def set_silence(self, silent_s: float) -> None:
+        """Replace the time for which the upstream may send nothing."""
+        self._silent_s = silent_s
+
     def send(self, encoded: bytes) -> Verdict | None:
         """Send a request; return what failed before the first byte."""
         self._connection.settimeout(self._silent_s)
@@ -95,6 +116,19 @@
                 return Err(Verdict.TOO_LARGE)
         return Ok(bytes(body)) if self.parser.whole else Err(Verdict.TRUNCATED)
 
+    def read_all(self, limit_bytes: int) -> Result[bytes, Verdict]:
+        """Return the whole body, also one that ends with its connection."""
+        body = bytearray()
+        while True:
+            part = self.read_part()
+            if part.is_err():
+                return part
+            if not part.ok_value:
+                return Ok(bytes(body))
+            body += part.ok_value
+            if len(body) > limit_bytes:
+                return Err(Verdict.TOO_LARGE)
+
     def release(self) -> socket.socket | None:
         """Give up the connection if it may carry another request."""
         connection = self._connection
@@ -138,7 +172,7 @@
         connection = socket.create_connection(target, timeout=wait_s)
     except OSError:
         return None
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    set_liveness_options(connection)
     return connection
 
 
--- a/apricotpin/helpers/http.py
+++ b/apricotpin/helpers/http.py
@@ -8,6 +8,28 @@
 from result import Err, Ok, Result
 
 from apricotpin.errors import ErrorKind, Failure
+from apricotpin.helpers.sockets import set_liveness_options
+
+
+class KeptClient(HTTPClient):
+    """Keep connections to one address and notice those that went silent."""
+
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        connections: int,
+        connect_timeout_s: float,
+        silent_s: float,
+    ) -> None:
+        super().__init__(
+            ip,
+            port=port,
+            connection_timeout=connect_timeout_s,
+            network_timeout=silent_s,
+            concurrency=connections,
+        )
+        self._connection_pool.after_connect = set_liveness_options
 
 
 class HttpAnswer:
--- a/apricotpin/helpers/logs.py
+++ b/apricotpin/helpers/logs.py
@@ -2,19 +2,31 @@
 
 import json
 import sys
-from typing import Any
+from collections import deque
+from typing import Any, Final
 
+import gevent
+from gevent.event import Event
+from gevent.os import make_nonblocking, nb_write
 from loguru import logger
 
+# Lines that wait for a slow reader of standard output; later ones are
+# dropped and counted. At 60 requests/s this is some ten seconds of lines.
+LINES_WAITING_MAX: Final = 2000
+
 _QUOTED_CHARACTERS = ' ="\n'
 
 
 def configure_logs(level: str, host_id: str) -> None:
     """Send log lines of at least this level to standard error."""
+    _configure(sys.stderr, level, host_id)
+
+
+def _configure(sink: Any, level: str, host_id: str) -> None:
     logger.remove()
     logger.configure(extra={'host': host_id})
     logger.add(
-        sys.stderr,
+        sink,
         level=level.upper(),
         format=_format_record,
         backtrace=False,
@@ -22,6 +34,51 @@
     )
 
 
+class LineWriter:
+    """Write lines to a file without ever waiting for its reader."""
+
+    __slots__ = ('_descriptor', '_dropped', '_lines', '_wanted')
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+        self._lines: deque[str] = deque()
+        self._dropped = 0
+        self._wanted = Event()
+
+    def put(self, line: str) -> None:
+        """Take a line, or count it as dropped."""
+        if len(self._lines) >= LINES_WAITING_MAX:
+            self._dropped += 1
+            return
+        self._lines.append(line)
+        self._wanted.set()
+
+    def run(self) -> None:
+        """Write the lines in the order in which they came."""
+        make_nonblocking(self._descriptor)
+        while True:
+            self._wanted.wait()
+            self._wanted.clear()
+            self._write_all()
+
+    def _write_all(self) -> None:
+        while self._lines:
+            batch = ''.join(self._lines).encode()
+            self._lines.clear()
+            if self._dropped:
+                batch += f'event=lines_dropped count={self._dropped}\n'.encode()
+                self._dropped = 0
+            while batch:
+                batch = batch[nb_write(self._descriptor, batch) :]
+
+
+def configure_stdout_logs(level: str, host_id: str) -> None:
+    """Send log lines to standard output, dropping them if nobody reads."""
+    writer = LineWriter(sys.stdout.fileno())
+    gevent.spawn(writer.run)
+    _configure(writer.put, level, host_id)
+
+
 def format_value(raw: Any) -> str:
     """Return a value as it stands in a log line, quoted where needed."""
     text = str(raw)
--- a/apricotpin/helpers/wire.py
+++ b/apricotpin/helpers/wire.py
@@ -6,8 +6,9 @@
 from typing import Any, Final
 
 import thriftpy2
+from thriftpy2.utils import deserialize, serialize
 
-from apricotpin.messages import claims, configuration, hosts, weights
+from apricotpin.messages import claims, configuration, fleet, hosts, weights
 
 
 def _load_idl() -> Any:
@@ -28,7 +29,7 @@
 
 
 def _message_classes() -> types.MappingProxyType[str, type]:
-    modules = (claims, configuration, hosts, weights)
+    modules = (claims, configuration, fleet, hosts, weights)
     return types.MappingProxyType(
         {
             name: getattr(module, name)
@@ -67,3 +68,29 @@
         for field in message_class.__slots__
     }
     return message_class(**fields)
+
+
+_DATAGRAM_FIELDS: Final = types.MappingProxyType(
+    {fleet.EntryHello: 'entry_hello', fleet.LoadReport: 'load_report'}
+)
+
+
+def encode_datagram(message: Any) -> bytes:
+    """Encode a message that travels alone in a datagram."""
+    field = _DATAGRAM_FIELDS[type(message)]
+    datagram = PEER_IDL.Datagram(**{field: to_wire(message)})
+    return serialize(datagram)
+
+
+def decode_datagram(received: bytes) -> Any:
+    """Decode a datagram; return None if it holds no message."""
+    try:
+        datagram = deserialize(PEER_IDL.Datagram(), received)
+    except Exception:
+        # thriftpy2 raises several unrelated types for malformed input.
+        return None
+    for field in _DATAGRAM_FIELDS.values():
+        struct = getattr(datagram, field)
+        if struct is not None:
+            return from_wire(struct)
+    return None
--- /dev/null
+++ b/apricotpin/host_settings.py
@@ -0,0 +1,105 @@
+"""Settings of a process that runs on a platform which describes its hosts."""
+
+from apricotpin.helpers.addresses import Address
+
+
+class Bounds:
+    """Hold the promises to which the operators hold every host."""
+
+    __slots__ = (
+        'config_apply_s',
+        'contact_s',
+        'drain_s',
+        'grace_s',
+        'retry_allowance',
+        'retry_budget_ratio',
+        'retry_window_s',
+        'version_s',
+    )
+
+    def __init__(
+        self,
+        config_apply_s: float,
+        contact_s: float,
+        drain_s: float,
+        grace_s: float,
+        retry_allowance: float,
+        retry_budget_ratio: float,
+        retry_window_s: float,
+        version_s: float,
+    ) -> None:
+        self.config_apply_s = config_apply_s
+        self.contact_s = contact_s
+        self.drain_s = drain_s
+        self.grace_s = grace_s
+        self.retry_allowance = retry_allowance
+        self.retry_budget_ratio = retry_budget_ratio
+        self.retry_window_s = retry_window_s
+        self.version_s = version_s
+
+
+class HostSettings:
+    """Hold the checked settings of a host.
+
+    Addresses are ip:port; an address that the role does not need is empty.
+    """
+
+    __slots__ = (
+        'admin_listen',
+        'bounds',
+        'data_centre',
+        'frontend_listen',
+        'host_id',
+        'ip',
+        'log_level',
+        'peer_address',
+        'peer_listen',
+        'ready_listen',
+        'region',
+        'regions',
+        'role',
+        'service',
+        'site',
+        'store_address',
+        'upstream_address',
+    )
+
+    def __init__(
+        self,
+        host_id: str,
+        role: str,
+        ip: str,
+        data_centre: str,
+        region: str,
+        regions: dict[str, str],
+        frontend_listen: str,
+        ready_listen: str,
+        internal_port: int,
+        store_address: str,
+        upstream_address: str,
+        service: str,
+        bounds: Bounds,
+    ) -> None:
+        self.host_id = host_id
+        self.role = role
+        self.site = ''
+        self.ip = ip
+        self.data_centre = data_centre
+        self.region = region
+        # The region of each data centre.
+        self.regions = regions
+        self.frontend_listen = frontend_listen
+        self.ready_listen = ready_listen
+        self.peer_address = f'{ip}:{internal_port}'
+        self.peer_listen = Address.from_text(self.peer_address)
+        self.admin_listen = Address(ip, internal_port + 1)
+        self.store_address = store_address
+        self.upstream_address = upstream_address
+        self.service = service
+        self.bounds = bounds
+        self.log_level = 'info'
+
+    @property
+    def grace_s(self) -> float:
+        """Return how long a stop may take in seconds."""
+        return self.bounds.grace_s
--- /dev/null
+++ b/apricotpin/hosting.py
@@ -0,0 +1,56 @@
+"""Run the process of a host whose platform describes and restarts it."""
+
+import os
+import signal
+import sys
+from collections.abc import Callable
+from typing import Final
+
+import gevent
+from gevent.event import Event
+from loguru import logger
+from result import Result
+
+from apricotpin import bootstrap
+from apricotpin.errors import Failure
+from apricotpin.helpers.logs import configure_stdout_logs
+from apricotpin.host_settings import HostSettings
+
+EXIT_FAILED: Final = 1
+_EXIT_DONE: Final = 0
+
+ReadSettings = Callable[[], Result[HostSettings, Failure]]
+
+
+def run_host(read_settings: ReadSettings) -> int:
+    """Run the role of this host until it is stopped; return the exit code."""
+    loaded = read_settings()
+    if loaded.is_err():
+        failure = loaded.err_value
+        sys.stdout.write(f'event=settings_invalid {failure.detail}\n')
+        return EXIT_FAILED
+    settings = loaded.ok_value
+    configure_stdout_logs(settings.log_level, settings.host_id)
+    stop_requested = Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, stop_requested.set)
+    gevent.signal_handler(signal.SIGHUP, _reload, read_settings)
+    finished = bootstrap.run_until_stopped(settings, stop_requested)
+    if finished.is_err():
+        failure = finished.err_value
+        logger.bind(error=failure.kind.value, detail=failure.detail).error(
+            'not_started',
+        )
+        return EXIT_FAILED
+    sys.stdout.flush()
+    # Greenlets that wait on sockets need no more turns.
+    os._exit(_EXIT_DONE)
+
+
+def _reload(read_settings: ReadSettings) -> None:
+    """Check a changed settings file; a fault leaves the old settings."""
+    loaded = read_settings()
+    if loaded.is_err():
+        logger.bind(detail=loaded.err_value.detail).error('reload_failed')
+        return
+    logger.info('reloaded')
--- /dev/null
+++ b/apricotpin/messages/calls.py
@@ -0,0 +1,197 @@
+"""Requests of callers and their answers, apart from any encoding."""
+
+from collections.abc import Callable
+from typing import Any
+
+Headers = list[tuple[str, str]]
+
+
+class CallHead:
+    """Hold the head of a caller's request.
+
+    deadline_s is the time that the caller waits, None where it said nothing;
+    last_event_id is empty unless a stream is resumed; forwarded holds the
+    headers that an upstream receives unchanged.
+    """
+
+    __slots__ = (
+        'api_key',
+        'deadline_s',
+        'forwarded',
+        'host',
+        'last_event_id',
+        'method',
+        'output_tokens',
+        'prompt_tokens',
+        'request_id',
+        'target',
+    )
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        host: str,
+        request_id: str,
+        api_key: str,
+        deadline_s: float | None,
+        last_event_id: str,
+        prompt_tokens: int,
+        output_tokens: int,
+        forwarded: Headers,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.host = host
+        self.request_id = request_id
+        self.api_key = api_key
+        self.deadline_s = deadline_s
+        self.last_event_id = last_event_id
+        self.prompt_tokens = prompt_tokens
+        self.output_tokens = output_tokens
+        self.forwarded = forwarded
+
+
+class Handover:
+    """Hold what an upstream is told about one attempt."""
+
+    __slots__ = (
+        'instance_id',
+        'last_event_id',
+        'left_s',
+        'path_spec',
+        'priority',
+        'tenant',
+    )
+
+    def __init__(
+        self,
+        instance_id: str,
+        tenant: str,
+        left_s: float,
+        last_event_id: str,
+        priority: int | None,
+    ) -> None:
+        self.instance_id = instance_id
+        self.tenant = tenant
+        self.left_s = left_s
+        self.last_event_id = last_event_id
+        self.priority = priority
+        self.path_spec = ''
+
+
+class AnswerHead:
+    """Hold the head of an upstream's answer.
+
+    not_run holds where the upstream says that it did not run the request;
+    sealed where the answer bears the upstream's own mark; idle_s is how long
+    the connection may stay idle, None where that was not said.
+    """
+
+    __slots__ = (
+        'encoded_body',
+        'headers',
+        'idle_s',
+        'misdirected',
+        'not_run',
+        'request_id',
+        'sealed',
+        'status',
+    )
+
+    def __init__(
+        self,
+        status: int,
+        headers: Headers,
+        request_id: str,
+        sealed: bool,
+        not_run: bool,
+        misdirected: bool,
+        encoded_body: bool,
+        idle_s: float | None,
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.request_id = request_id
+        self.sealed = sealed
+        self.not_run = not_run
+        self.misdirected = misdirected
+        self.encoded_body = encoded_body
+        self.idle_s = idle_s
+
+
+class GetCallCodec:
+    """Ask for the functions that decode and encode requests and answers."""
+
+    __slots__ = ()
+
+
+class CallCodec:
+    """Hold the functions of one wire format.
+
+    decode_request: (method, target, headers) -> Result[CallHead, Failure]
+    encode_request: (CallHead, Handover, body) -> bytes
+    decode_answer: (status, headers) -> AnswerHead
+    refusal_headers: (request id, time to come back in seconds) -> Headers
+    """
+
+    __slots__ = (
+        'decode_answer',
+        'decode_request',
+        'encode_request',
+        'refusal_headers',
+    )
+
+    def __init__(
+        self,
+        decode_request: Callable[..., Any],
+        encode_request: Callable[..., bytes],
+        decode_answer: Callable[..., AnswerHead],
+        refusal_headers: Callable[..., Headers],
+    ) -> None:
+        self.decode_request = decode_request
+        self.encode_request = encode_request
+        self.decode_answer = decode_answer
+        self.refusal_headers = refusal_headers
+
+
+class ResolveCall:
+    """Ask which route, service and tenant a request belongs to.
+
+    split_point is a number from 0 to 1 that picks among split services.
+    """
+
+    __slots__ = ('api_key', 'host', 'split_point', 'target')
+
+    def __init__(
+        self,
+        host: str,
+        target: str,
+        api_key: str,
+        split_point: float,
+    ) -> None:
+        self.host = host
+        self.target = target
+        self.api_key = api_key
+        self.split_point = split_point
+
+
+class Resolved:
+    """Name the route, service and tenant of a request."""
+
+    __slots__ = ('priority', 'route', 'service', 'tenant', 'version')
+
+    def __init__(
+        self,
+        route: Any,
+        service: str,
+        tenant: str,
+        priority: int,
+        version: int,
+    ) -> None:
+        self.route = route
+        self.service = service
+        self.tenant = tenant
+        self.priority = priority
+        # Version of the desired state that decided.
+        self.version = version
--- /dev/null
+++ b/apricotpin/messages/desired.py
@@ -0,0 +1,209 @@
+"""The desired state of the system as typed values."""
+
+import enum
+
+
+class RouteKind(enum.Enum):
+    """Say what may be repeated on a route."""
+
+    IDEMPOTENT = 'idempotent'
+    NON_IDEMPOTENT = 'non_idempotent'
+    STREAM = 'stream'
+
+
+class Split:
+    """Send a share of a route's requests to a service."""
+
+    __slots__ = ('service', 'weight')
+
+    def __init__(self, service: str, weight: float) -> None:
+        self.service = service
+        self.weight = weight
+
+
+class Route:
+    """Map requests of a host and path prefix to services."""
+
+    __slots__ = (
+        'anonymous',
+        'gap_s',
+        'goal_s',
+        'host',
+        'kind',
+        'max_attempts',
+        'name',
+        'path_prefix',
+        'priority',
+        'resumable',
+        'splits',
+        'timeout_s',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        path_prefix: str,
+        kind: RouteKind,
+        splits: tuple[Split, ...],
+        timeout_s: float,
+        goal_s: float,
+        gap_s: float,
+        max_attempts: int,
+        priority: int,
+        anonymous: bool,
+        resumable: bool,
+    ) -> None:
+        self.name = name
+        self.host = host
+        self.path_prefix = path_prefix
+        self.kind = kind
+        self.splits = splits
+        self.timeout_s = timeout_s
+        self.goal_s = goal_s
+        self.gap_s = gap_s
+        self.max_attempts = max_attempts
+        self.priority = priority
+        self.anonymous = anonymous
+        self.resumable = resumable
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a request may run more than once."""
+        if self.kind is RouteKind.STREAM:
+            return self.resumable
+        return self.kind is RouteKind.IDEMPOTENT
+
+
+class Engine:
+    """Describe the model workers of a service."""
+
+    __slots__ = ('chunk_bytes', 'chunks', 'layers', 'model', 'slots', 'warm_s')
+
+    def __init__(
+        self,
+        model: str,
+        slots: int,
+        layers: int,
+        chunks: int,
+        chunk_bytes: int,
+        warm_s: float,
+    ) -> None:
+        self.model = model
+        self.slots = slots
+        self.layers = layers
+        self.chunks = chunks
+        self.chunk_bytes = chunk_bytes
+        self.warm_s = warm_s
+
+
+class ServiceSpec:
+    """Describe a service; engine is None where it runs no model.
+
+    origin is the address of the origin of weights, if the service is one.
+    """
+
+    __slots__ = ('data_centre', 'engine', 'max_connections', 'name', 'origin')
+
+    def __init__(
+        self,
+        name: str,
+        max_connections: int,
+        engine: Engine | None = None,
+        origin: str = '',
+        data_centre: str = '',
+    ) -> None:
+        self.name = name
+        self.max_connections = max_connections
+        self.engine = engine
+        self.origin = origin
+        self.data_centre = data_centre
+
+
+class Tenant:
+    """Hold a workspace's name and its keys."""
+
+    __slots__ = ('api_keys', 'name', 'priority')
+
+    def __init__(
+        self,
+        name: str,
+        api_keys: tuple[str, ...],
+        priority: int | None,
+    ) -> None:
+        self.name = name
+        self.api_keys = api_keys
+        self.priority = priority
+
+
+class CallerLimits:
+    """Bound what a caller may send and how long it may take."""
+
+    __slots__ = ('body_bytes', 'head_bytes', 'head_s', 'idle_s')
+
+    def __init__(
+        self,
+        head_bytes: int,
+        body_bytes: int,
+        head_s: float,
+        idle_s: float,
+    ) -> None:
+        self.head_bytes = head_bytes
+        self.body_bytes = body_bytes
+        self.head_s = head_s
+        self.idle_s = idle_s
+
+
+class DesiredState:
+    """Hold one whole desired state.
+
+    tenants is None where requests need no key.
+    """
+
+    __slots__ = ('limits', 'routes', 'services', 'tenants', 'version')
+
+    def __init__(
+        self,
+        version: int,
+        routes: tuple[Route, ...],
+        services: tuple[ServiceSpec, ...],
+        tenants: tuple[Tenant, ...] | None,
+        limits: CallerLimits,
+    ) -> None:
+        self.version = version
+        self.routes = routes
+        self.services = services
+        self.tenants = tenants
+        self.limits = limits
+
+
+class ModelVersion:
+    """Name the version of a model's weights that every worker shall hold."""
+
+    __slots__ = ('model', 'version')
+
+    def __init__(self, model: str, version: int) -> None:
+        self.model = model
+        self.version = version
+
+
+class DesiredStateChanged:
+    """Announce the desired state in force from now on."""
+
+    __slots__ = ('state',)
+
+    def __init__(self, state: DesiredState) -> None:
+        self.state = state
+
+
+class ModelVersionChanged:
+    """Announce a version of weights and how long it has been declared.
+
+    known_for_s is a lower bound; a negative one means that it is unknown.
+    """
+
+    __slots__ = ('known_for_s', 'target')
+
+    def __init__(self, target: ModelVersion, known_for_s: float) -> None:
+        self.target = target
+        self.known_for_s = known_for_s
--- /dev/null
+++ b/apricotpin/messages/feeds.py
@@ -0,0 +1,96 @@
+"""Messages to the store service, which reads the platform's store."""
+
+import enum
+from typing import Any
+
+
+class Feed(enum.Enum):
+    """Name what the store keeps; each has entries by key."""
+
+    OPERATOR = 'operator'
+    UPSTREAMS = 'upstreams'
+    HOSTS = 'hosts'
+
+
+class ReadSnapshot:
+    """Ask for the newest entry of each key of a feed."""
+
+    __slots__ = ('feed',)
+
+    def __init__(self, feed: Feed) -> None:
+        self.feed = feed
+
+
+class ReadChanges:
+    """Ask for the entries of a feed from an offset on.
+
+    An answer without entries comes after wait_s.
+    """
+
+    __slots__ = ('feed', 'offset', 'wait_s')
+
+    def __init__(self, feed: Feed, offset: int, wait_s: float) -> None:
+        self.feed = feed
+        self.offset = offset
+        self.wait_s = wait_s
+
+
+class FeedEntry:
+    """Hold one entry: what it means, or None for a key that was dropped.
+
+    meaning is a product type: DesiredState, ModelVersion, UpstreamEntry or
+    EntryHost. fault tells why an entry has no meaning though it has content.
+    """
+
+    __slots__ = ('fault', 'key', 'meaning')
+
+    def __init__(self, key: str, meaning: Any, fault: str = '') -> None:
+        self.key = key
+        self.meaning = meaning
+        self.fault = fault
+
+
+class FeedPage:
+    """Hold the entries read and the offset to read from next."""
+
+    __slots__ = ('entries', 'next_offset')
+
+    def __init__(self, entries: list[FeedEntry], next_offset: int) -> None:
+        self.entries = entries
+        self.next_offset = next_offset
+
+
+class RecordHost:
+    """Ask the store to keep an entry host's address, or to drop it."""
+
+    __slots__ = ('host', 'listed')
+
+    def __init__(self, host: Any, listed: bool = True) -> None:
+        self.host = host
+        self.listed = listed
+
+
+class EntryHost:
+    """Hold how an entry host is reached by other processes."""
+
+    __slots__ = ('data_centre', 'host_id', 'peer_address')
+
+    def __init__(
+        self,
+        host_id: str,
+        peer_address: str,
+        data_centre: str,
+    ) -> None:
+        self.host_id = host_id
+        self.peer_address = peer_address
+        self.data_centre = data_centre
+
+
+class StoreSeen:
+    """Announce whether a feed could be read just now."""
+
+    __slots__ = ('feed', 'reachable')
+
+    def __init__(self, feed: Feed, reachable: bool) -> None:
+        self.feed = feed
+        self.reachable = reachable
--- /dev/null
+++ b/apricotpin/messages/fleet.py
@@ -0,0 +1,168 @@
+"""Datagrams between entry hosts and agents."""
+
+
+class WeightsTarget:
+    """Name the version that the workers of a service shall hold.
+
+    known_for_ms is how long the sender has known it, -1 if it can't tell.
+    """
+
+    __slots__ = ('known_for_ms', 'model', 'service_name', 'version')
+
+    def __init__(
+        self,
+        service_name: str,
+        model: str,
+        version: int,
+        known_for_ms: int,
+    ) -> None:
+        self.service_name = service_name
+        self.model = model
+        self.version = version
+        self.known_for_ms = known_for_ms
+
+
+class EntryHello:
+    """Tell agents and entry hosts where this entry host is reached.
+
+    turn is the number of workers of the receiver's data centre and service
+    that switch to a new version before the receiver's, and turns the number
+    of groups in which they switch.
+    """
+
+    __slots__ = (
+        'data_centre',
+        'host_id',
+        'peer_address',
+        'targets',
+        'turn',
+        'turns',
+    )
+
+    def __init__(
+        self,
+        host_id: str,
+        peer_address: str,
+        data_centre: str,
+        targets: list[WeightsTarget],
+        turn: int = 0,
+        turns: int = 1,
+    ) -> None:
+        self.host_id = host_id
+        self.peer_address = peer_address
+        self.data_centre = data_centre
+        self.targets = targets
+        self.turn = turn
+        self.turns = turns
+
+
+class LoadReport:
+    """Tell entry hosts what the worker beside an agent does and holds.
+
+    count grows with each report of one start of the agent; switching holds
+    from a short time before the worker takes a new version.
+    """
+
+    __slots__ = (
+        'active',
+        'address',
+        'count',
+        'data_centre',
+        'layers_end',
+        'layers_start',
+        'peer_address',
+        'queued',
+        'reachable',
+        'service_name',
+        'started_ms',
+        'switching',
+        'version',
+    )
+
+    def __init__(
+        self,
+        address: str,
+        peer_address: str,
+        data_centre: str,
+        service_name: str,
+        count: int,
+        reachable: bool,
+        started_ms: int,
+        active: int,
+        queued: int,
+        version: int,
+        layers_start: int,
+        layers_end: int,
+        switching: bool,
+    ) -> None:
+        self.address = address
+        self.peer_address = peer_address
+        self.data_centre = data_centre
+        self.service_name = service_name
+        self.count = count
+        self.reachable = reachable
+        self.started_ms = started_ms
+        self.active = active
+        self.queued = queued
+        self.version = version
+        self.layers_start = layers_start
+        self.layers_end = layers_end
+        self.switching = switching
+
+
+class EntryHostListed:
+    """Announce that an entry host's record was written or dropped."""
+
+    __slots__ = ('host', 'listed')
+
+    def __init__(self, host: object, listed: bool) -> None:
+        self.host = host
+        self.listed = listed
+
+
+class TargetHeard:
+    """Tell of a declared version that another entry host knows.
+
+    known_for_s is -1 where it can't tell for how long.
+    """
+
+    __slots__ = ('known_for_s', 'model', 'version')
+
+    def __init__(self, model: str, version: int, known_for_s: float) -> None:
+        self.model = model
+        self.version = version
+        self.known_for_s = known_for_s
+
+
+class EntryHostsChanged:
+    """Announce the entry hosts heard of lately, this one included."""
+
+    __slots__ = ('hosts',)
+
+    def __init__(self, hosts: tuple[object, ...]) -> None:
+        self.hosts = hosts
+
+
+class FindEntries:
+    """Ask the presence service to report to recorded entry hosts."""
+
+    __slots__ = ('hosts', 'report')
+
+    def __init__(self, hosts: tuple[object, ...], report: LoadReport) -> None:
+        self.hosts = hosts
+        self.report = report
+
+
+class CountEntries:
+    """Ask how many entry hosts greeted this agent lately."""
+
+    __slots__ = ()
+
+
+class AnnounceLoad:
+    """Ask the presence service to send a report on the worker."""
+
+    __slots__ = ('report',)
+
+    def __init__(self, report: LoadReport) -> None:
+        self.report = report
--- /dev/null
+++ b/apricotpin/messages/pieces.py
@@ -0,0 +1,117 @@
+"""Messages about pieces of weights and the worker that loads them."""
+
+from apricotpin.messages.upstreams import LoadedLayers
+
+
+class PieceManifest:
+    """Hold the SHA-256 digest of each piece of a version, in order."""
+
+    __slots__ = ('digests', 'layers', 'model', 'version')
+
+    def __init__(
+        self,
+        model: str,
+        version: int,
+        layers: int,
+        digests: tuple[str, ...],
+    ) -> None:
+        self.model = model
+        self.version = version
+        self.layers = layers
+        self.digests = digests
+
+
+class FetchManifest:
+    """Ask an origin for the manifest of a version."""
+
+    __slots__ = ('address', 'model', 'version')
+
+    def __init__(self, address: str, model: str, version: int) -> None:
+        self.address = address
+        self.model = model
+        self.version = version
+
+
+class FetchPiece:
+    """Ask an origin for one piece of a version."""
+
+    __slots__ = ('address', 'index', 'model', 'version')
+
+    def __init__(
+        self,
+        address: str,
+        model: str,
+        version: int,
+        index: int,
+    ) -> None:
+        self.address = address
+        self.model = model
+        self.version = version
+        self.index = index
+
+
+class StagePiece:
+    """Ask the worker beside this process to keep a piece for loading."""
+
+    __slots__ = ('content', 'index', 'model')
+
+    def __init__(self, model: str, index: int, content: bytes) -> None:
+        self.model = model
+        self.index = index
+        self.content = content
+
+
+class ReadStaged:
+    """Ask the worker beside this process for a staged piece.
+
+    The answer is None where it holds none.
+    """
+
+    __slots__ = ('index', 'model')
+
+    def __init__(self, model: str, index: int) -> None:
+        self.model = model
+        self.index = index
+
+
+class StartVersion:
+    """Order the worker to load layers from its staged pieces.
+
+    The worker ends what is running first. end is exclusive.
+    """
+
+    __slots__ = ('end', 'model', 'start', 'version')
+
+    def __init__(self, model: str, version: int, start: int, end: int) -> None:
+        self.model = model
+        self.version = version
+        self.start = start
+        self.end = end
+
+
+class ReadReport:
+    """Ask the worker beside this process how it is."""
+
+    __slots__ = ()
+
+
+class WorkerReport:
+    """Tell what a worker does and holds."""
+
+    __slots__ = ('active', 'busy', 'loaded', 'queued', 'started_ms')
+
+    def __init__(
+        self,
+        active: int,
+        queued: int,
+        busy: bool,
+        started_ms: int,
+        loaded: tuple[LoadedLayers, ...],
+    ) -> None:
+        self.active = active
+        self.queued = queued
+        # Whether an order is in progress.
+        self.busy = busy
+        # Unix milliseconds of its start; a change means that it restarted.
+        self.started_ms = started_ms
+        self.loaded = loaded
--- /dev/null
+++ b/apricotpin/messages/upstreams.py
@@ -0,0 +1,159 @@
+"""What is known of upstreams, and the choice of one for a request."""
+
+from typing import Any
+
+
+class LoadedLayers:
+    """Say which layers of a version a model worker holds, end exclusive."""
+
+    __slots__ = ('end', 'model', 'start', 'version')
+
+    def __init__(self, model: str, version: int, start: int, end: int) -> None:
+        self.model = model
+        self.version = version
+        self.start = start
+        self.end = end
+
+
+class UpstreamEntry:
+    """Describe an upstream as it registered itself."""
+
+    __slots__ = (
+        'address',
+        'data_centre',
+        'draining',
+        'instance_id',
+        'loaded',
+        'service',
+        'slots',
+        'started_ms',
+    )
+
+    def __init__(
+        self,
+        instance_id: str,
+        service: str,
+        address: str,
+        data_centre: str,
+        slots: int,
+        draining: bool,
+        started_ms: int,
+        loaded: tuple[LoadedLayers, ...] | None,
+    ) -> None:
+        self.instance_id = instance_id
+        self.service = service
+        self.address = address
+        self.data_centre = data_centre
+        self.slots = slots
+        self.draining = draining
+        # Unix milliseconds of its start; 0 where it did not say.
+        self.started_ms = started_ms
+        # None where it does not say which weights it holds.
+        self.loaded = loaded
+
+
+class UpstreamListed:
+    """Announce a new or changed entry."""
+
+    __slots__ = ('entry',)
+
+    def __init__(self, entry: UpstreamEntry) -> None:
+        self.entry = entry
+
+
+class UpstreamUnlisted:
+    """Announce that an upstream is gone from the list."""
+
+    __slots__ = ('instance_id',)
+
+    def __init__(self, instance_id: str) -> None:
+        self.instance_id = instance_id
+
+
+class PickUpstream:
+    """Ask for an upstream of a service for one attempt.
+
+    tried holds the instances that the request was sent to before. The retry
+    reason is empty for the first attempt; any other draws on the budget.
+    While all workers are full, the answer waits for hold_s at most. It is
+    Picked, or a failure that says why there is none.
+    """
+
+    __slots__ = ('hold_s', 'priority', 'retry_reason', 'service', 'tried')
+
+    def __init__(
+        self,
+        service: str,
+        priority: int,
+        hold_s: float = 0,
+        tried: tuple[str, ...] = (),
+        retry_reason: str = '',
+    ) -> None:
+        self.service = service
+        self.priority = priority
+        self.hold_s = hold_s
+        self.tried = tried
+        self.retry_reason = retry_reason
+
+
+class Picked:
+    """Name the upstream of an attempt, and an idle connection if one is open.
+
+    load and load_age_s tell what the choice rests on.
+    """
+
+    __slots__ = (
+        'address',
+        'connection',
+        'instance_id',
+        'load',
+        'load_age_s',
+        'version',
+    )
+
+    def __init__(
+        self,
+        instance_id: str,
+        address: str,
+        connection: Any,
+        version: int,
+        load: int,
+        load_age_s: float,
+    ) -> None:
+        self.instance_id = instance_id
+        self.address = address
+        self.connection = connection
+        self.version = version
+        self.load = load
+        self.load_age_s = load_age_s
+
+
+class AttemptDone:
+    """Return an upstream after an attempt, and its connection if reusable.
+
+    verdict is the name of how the attempt ended.
+    """
+
+    __slots__ = ('connection', 'idle_s', 'instance_id', 'verdict')
+
+    def __init__(
+        self,
+        instance_id: str,
+        verdict: str,
+        connection: Any = None,
+        idle_s: float | None = None,
+    ) -> None:
+        self.instance_id = instance_id
+        self.verdict = verdict
+        self.connection = connection
+        # How long the upstream keeps the connection open, if it said so.
+        self.idle_s = idle_s
+
+
+class NoteRequest:
+    """Count a request to a service, which the retry budget rests on."""
+
+    __slots__ = ('service',)
+
+    def __init__(self, service: str) -> None:
+        self.service = service
--- /dev/null
+++ b/apricotpin/platform/__init__.py
@@ -0,0 +1,72 @@
+"""Adapter to the platform: its names, formats and calls, no decisions."""
+
+from result import Ok, Result
+
+from apricotpin.const import (
+    ROLE_HOST_AGENT,
+    SERVICE_CALL_CODEC,
+    SERVICE_ENGINE,
+    SERVICE_ORIGIN,
+    SERVICE_STORE,
+)
+from apricotpin.core import Kernel
+from apricotpin.errors import Failure
+from apricotpin.host_settings import HostSettings
+from apricotpin.messages.calls import GetCallCodec
+from apricotpin.messages.feeds import ReadChanges, ReadSnapshot, RecordHost
+from apricotpin.messages.pieces import (
+    FetchManifest,
+    FetchPiece,
+    ReadReport,
+    ReadStaged,
+    StagePiece,
+    StartVersion,
+)
+from apricotpin.platform.call_codec import make_codec
+from apricotpin.platform.origin import OriginService
+from apricotpin.platform.store import StoreService
+from apricotpin.platform.worker import WorkerService
+
+
+def setup(kernel: Kernel, settings: HostSettings) -> Result[None, Failure]:
+    """Register the services that speak with the platform."""
+    store = StoreService(kernel, settings.store_address)
+    kernel.register(
+        SERVICE_STORE,
+        {
+            ReadSnapshot: store.read,
+            ReadChanges: store.read,
+            RecordHost: store.record_host,
+        },
+    )
+    if settings.role == ROLE_HOST_AGENT:
+        _register_worker(kernel, settings)
+    else:
+        _register_entry(kernel)
+    return Ok(None)
+
+
+def _register_worker(kernel: Kernel, settings: HostSettings) -> None:
+    worker = WorkerService(kernel, settings.upstream_address)
+    kernel.register(
+        SERVICE_ENGINE,
+        {
+            ReadReport: worker.report,
+            StagePiece: worker.use,
+            ReadStaged: worker.use,
+            StartVersion: worker.use,
+        },
+    )
+
+
+def _register_entry(kernel: Kernel) -> None:
+    codec = make_codec()
+    kernel.register(
+        SERVICE_CALL_CODEC,
+        {GetCallCodec: lambda _message, reply: reply.ok(codec)},
+    )
+    origin = OriginService(kernel)
+    kernel.register(
+        SERVICE_ORIGIN,
+        {FetchManifest: origin.fetch, FetchPiece: origin.fetch},
+    )
--- /dev/null
+++ b/apricotpin/platform/settings_file.py
@@ -0,0 +1,144 @@
+"""Reads the platform's settings file into the product's host settings."""
+
+import pathlib
+import types
+from typing import Any, Final
+
+import yaml
+from result import Err, Ok, Result
+
+from apricotpin.const import ROLE_HOST_AGENT, ROLE_HOST_ENTRY
+from apricotpin.errors import ErrorKind, Failure
+from apricotpin.host_settings import Bounds, HostSettings
+from apricotpin.platform import names
+
+_MS_PER_S: Final = 1000.0
+_ROLES: Final = types.MappingProxyType(
+    {
+        names.CLASS_EDGE: ROLE_HOST_ENTRY,
+        names.CLASS_SIDE: ROLE_HOST_AGENT,
+    }
+)
+
+
+class FieldFault(Exception):
+    """Carry the path of a field that is missing or of a wrong type."""
+
+
+class Fields:
+    """Read typed fields from a parsed document, naming each by its path."""
+
+    __slots__ = ('_document', '_path')
+
+    def __init__(self, document: Any, path: str = '') -> None:
+        if not isinstance(document, dict):
+            raise FieldFault(f'path={path or "."} expected="a mapping"')
+        self._document = document
+        self._path = path
+
+    def text(self, name: str) -> str:
+        """Return a text that is not empty."""
+        found = self._document.get(name)
+        if isinstance(found, str) and found:
+            return found
+        raise self._fault(name, 'a text')
+
+    def number(self, name: str) -> float:
+        """Return a number."""
+        found = self._document.get(name)
+        if isinstance(found, int | float) and not isinstance(found, bool):
+            return float(found)
+        raise self._fault(name, 'a number')
+
+    def optional_text(self, name: str) -> str:
+        """Return a text, empty where there is none."""
+        return self.text(name) if self._document.get(name) else ''
+
+    def nested(self, name: str) -> 'Fields':
+        """Return the fields of a mapping inside this one."""
+        return Fields(self._document.get(name), self._join(name))
+
+    def texts(self, name: str) -> list[str]:
+        """Return a list of texts."""
+        found = self._document.get(name)
+        if isinstance(found, list) and all(isinstance(one, str) for one in found):
+            return found
+        raise self._fault(name, 'a list of texts')
+
+    def first_port(self, name: str) -> int:
+        """Return the first of a list of ports."""
+        found = self._document.get(name)
+        if isinstance(found, list) and found and isinstance(found[0], int):
+            return found[0]
+        raise self._fault(name, 'a list of ports')
+
+    def mapping(self, name: str) -> dict[str, str]:
+        """Return a mapping from texts to texts."""
+        found = self._document.get(name)
+        if isinstance(found, dict):
+            return {str(key): str(entry) for key, entry in found.items()}
+        raise self._fault(name, 'a mapping')
+
+    def _join(self, name: str) -> str:
+        return f'{self._path}.{name}' if self._path else name
+
+    def _fault(self, name: str, expected: str) -> FieldFault:
+        found = self._document.get(name)
+        return FieldFault(
+            f'path={self._join(name)} value={found!r} expected="{expected}"',
+        )
+
+
+def read_settings(path: pathlib.Path) -> Result[HostSettings, Failure]:
+    """Read and check the settings file; the failure names file and path."""
+    try:
+        document = yaml.safe_load(path.read_text())
+    except (OSError, yaml.YAMLError, UnicodeDecodeError) as error:
+        return Err(_failure(path, f'error={str(error)!r}'))
+    try:
+        return Ok(_decode(Fields(document)))
+    except FieldFault as fault:
+        return Err(_failure(path, str(fault)))
+
+
+def _failure(path: pathlib.Path, detail: str) -> Failure:
+    return Failure(ErrorKind.SETTINGS_INVALID, f'file={path} {detail}')
+
+
+def _decode(fields: Fields) -> HostSettings:
+    machine_class = fields.text('machine_class')
+    role = _ROLES.get(machine_class)
+    if role is None:
+        raise FieldFault(
+            f'path=machine_class value={machine_class} expected="edge or side"',
+        )
+    is_entry = role == ROLE_HOST_ENTRY
+    listen = fields.nested('listen')
+    return HostSettings(
+        host_id=fields.text('node_name'),
+        role=role,
+        ip=fields.text('ip'),
+        data_centre=fields.text('zone'),
+        region=fields.text('region'),
+        regions=fields.mapping('zones'),
+        frontend_listen=listen.text('frontend') if is_entry else '',
+        ready_listen=listen.text('ready') if is_entry else '',
+        internal_port=fields.first_port('internal_ports'),
+        store_address=fields.nested('platform').text('address'),
+        upstream_address='' if is_entry else fields.text('app'),
+        service='' if is_entry else fields.text('service'),
+        bounds=_decode_bounds(fields.nested('bounds')),
+    )
+
+
+def _decode_bounds(fields: Fields) -> Bounds:
+    return Bounds(
+        config_apply_s=fields.number('config_apply_ms') / _MS_PER_S,
+        contact_s=fields.number('contact_ms') / _MS_PER_S,
+        drain_s=fields.number('drain_ms') / _MS_PER_S,
+        grace_s=fields.number('grace_s'),
+        retry_allowance=fields.number('retry_allowance'),
+        retry_budget_ratio=fields.number('retry_budget_ratio'),
+        retry_window_s=fields.number('retry_window_s'),
+        version_s=fields.number('version_ms') / _MS_PER_S,
+    )
--- /dev/null
+++ b/apricotpin/platform/store.py
@@ -0,0 +1,116 @@
+"""The store service: reads feeds from the platform's store, decoded."""
+
+import types
+from collections.abc import Callable
+from typing import Any, Final
+
+from gevent.queue import Queue
+from result import Result
+
+from apricotpin.core import Kernel, Reply
+from apricotpin.errors import Failure
+from apricotpin.messages.feeds import (
+    Feed,
+    FeedEntry,
+    FeedPage,
+    ReadChanges,
+    ReadSnapshot,
+    RecordHost,
+)
+from apricotpin.platform import documents, names
+from apricotpin.platform.store_client import RawPage, StoreClient
+
+# The longest that a follower lets the store wait for a change.
+FEED_WAIT_S: Final = 2.5
+
+Decoder = Callable[[str, bytes], FeedEntry]
+
+_TOPICS: Final = types.MappingProxyType(
+    {
+        Feed.OPERATOR: names.TOPIC_OPERATOR,
+        Feed.UPSTREAMS: names.TOPIC_SERVERS,
+        Feed.HOSTS: names.TOPIC_HOSTS,
+    }
+)
+_DECODERS: Final = types.MappingProxyType(
+    {
+        Feed.OPERATOR: documents.operator_entry,
+        Feed.UPSTREAMS: documents.upstream_entry,
+        Feed.HOSTS: documents.host_entry,
+    }
+)
+
+
+class Job:
+    """Hold a read or write and where its answer goes."""
+
+    __slots__ = ('message', 'reply')
+
+    def __init__(self, message: Any, reply: Reply) -> None:
+        self.message = message
+        self.reply = reply
+
+
+class StoreService:
+    """Own one queue and one connection for each feed."""
+
+    __slots__ = ('_queues',)
+
+    def __init__(self, kernel: Kernel, address: str) -> None:
+        self._queues: dict[Feed, Queue] = {}
+        for feed in Feed:
+            queue: Queue = Queue()
+            self._queues[feed] = queue
+            kernel.spawn(_work, queue, StoreClient(address, FEED_WAIT_S))
+
+    def read(self, message: ReadSnapshot | ReadChanges, reply: Reply) -> None:
+        """Read a feed in the greenlet that owns its connection."""
+        self._queues[message.feed].put(Job(message, reply))
+
+    def record_host(self, message: RecordHost, reply: Reply) -> None:
+        """Write a record of this system's own."""
+        self._queues[Feed.HOSTS].put(Job(message, reply))
+
+
+def _work(queue: Queue, client: StoreClient) -> None:
+    for job in queue:
+        job.reply.forward(_ACTIONS[type(job.message)](client, job.message))
+
+
+def _read_snapshot(
+    client: StoreClient,
+    message: ReadSnapshot,
+) -> Result[FeedPage, Failure]:
+    page = client.newest(_TOPICS[message.feed])
+    return page.map(lambda raw: _decode(raw, _DECODERS[message.feed]))
+
+
+def _read_changes(
+    client: StoreClient,
+    message: ReadChanges,
+) -> Result[FeedPage, Failure]:
+    page = client.read(_TOPICS[message.feed], message.offset, message.wait_s)
+    return page.map(lambda raw: _decode(raw, _DECODERS[message.feed]))
+
+
+def _record_host(
+    client: StoreClient,
+    message: RecordHost,
+) -> Result[None, Failure]:
+    host = message.host
+    content = documents.encode_host(host) if message.listed else b''
+    return client.append(names.TOPIC_HOSTS, host.host_id, content)
+
+
+def _decode(raw: RawPage, decoder: Decoder) -> FeedPage:
+    entries = [decoder(key, content) for key, content in raw.records]
+    return FeedPage(entries, raw.next_offset)
+
+
+_ACTIONS: Final = types.MappingProxyType(
+    {
+        ReadSnapshot: _read_snapshot,
+        ReadChanges: _read_changes,
+        RecordHost: _record_host,
+    }
+)
--- /dev/null
+++ b/apricotpin/platform/store_client.py
@@ -0,0 +1,177 @@
+"""Calls to the platform's store over one kept connection for each caller."""
+
+import base64
+import json
+import struct
+from typing import Any, Final
+
+from result import Err, Ok, Result
+
+from apricotpin.errors import ErrorKind, Failure
+from apricotpin.helpers.addresses import Address
+from apricotpin.helpers.http import KeptClient
+from apricotpin.platform import names
+
+# The store answers in a few ms; on a slow day in some hundred.
+CALL_TIMEOUT_S: Final = 1.5
+_MS_PER_S: Final = 1000
+_LENGTH: Final = struct.Struct('>I')
+_OFFSETS: Final = struct.Struct('>QQ')
+_STATUS_OK: Final = 200
+_STATUS_GONE: Final = 410
+
+
+class RawPage:
+    """Hold records as (key, content) and the offset to read from next."""
+
+    __slots__ = ('next_offset', 'records')
+
+    def __init__(
+        self,
+        records: list[tuple[str, bytes]],
+        next_offset: int,
+    ) -> None:
+        self.records = records
+        self.next_offset = next_offset
+
+
+class StoreClient:
+    """Own one connection to the store; belongs to a single greenlet.
+
+    wait_s is the longest that a read may wait for its first record.
+    """
+
+    __slots__ = ('_address', '_client', '_silent_s')
+
+    def __init__(self, address: str, wait_s: float = 0) -> None:
+        self._address = Address.from_text(address)
+        self._silent_s = CALL_TIMEOUT_S + wait_s
+        self._client: KeptClient | None = None
+
+    def newest(self, topic: str) -> Result[RawPage, Failure]:
+        """Return the newest record of each key of a topic.
+
+        Pages are not a snapshot, so changes are read from the first page's
+        end on.
+        """
+        records: list[tuple[str, bytes]] = []
+        path = names.PATH_LOG_NEWEST.format(topic=topic)
+        end_offset = -1
+        after = ''
+        while True:
+            answered = self._call('GET', path + after)
+            if answered.is_err():
+                return answered
+            page = json.loads(answered.ok_value)
+            if end_offset < 0:
+                end_offset = page['end_offset']
+            for record in page['items']:
+                content = base64.b64decode(record.get('value') or '')
+                records.append((record['key'], content))
+            if not page.get('has_more') or not page['items']:
+                return Ok(RawPage(records, end_offset))
+            after = f'&after={page["items"][-1]["key"]}'
+
+    def read(
+        self,
+        topic: str,
+        offset: int,
+        wait_s: float,
+    ) -> Result[RawPage, Failure]:
+        """Return the records from an offset on, waiting for the first."""
+        path = names.PATH_LOG_READ.format(
+            topic=topic,
+            offset=offset,
+            wait_ms=int(wait_s * _MS_PER_S),
+        )
+        answered = self._call('GET', path)
+        return answered.and_then(lambda body: _parse_page(body, offset))
+
+    def append(
+        self,
+        topic: str,
+        key: str,
+        content: bytes,
+    ) -> Result[None, Failure]:
+        """Append a record; no content drops the key."""
+        name = key.encode()
+        record = bytes([len(name)]) + name + content
+        path = names.PATH_LOG_APPEND.format(topic=topic)
+        body = _LENGTH.pack(len(record)) + record
+        answered = self._call('POST', path, body)
+        return answered.map(lambda _body: None)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._client is not None:
+            self._client.close()
+            self._client = None
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+    ) -> Result[bytes, Failure]:
+        try:
+            response, received = self._exchange(method, path, body)
+        except Exception as error:
+            # geventhttpclient raises several unrelated exception types; a
+            # connection that lost an answer returns nothing further.
+            self.close()
+            return Err(Failure(ErrorKind.LOG_UNAVAILABLE, repr(error)))
+        except BaseException:
+            self.close()
+            raise
+        if response == _STATUS_OK:
+            return Ok(received)
+        detail = f'{method} {path}: status {response}'
+        kind = ErrorKind.LOG_UNAVAILABLE
+        if response == _STATUS_GONE:
+            kind = ErrorKind.LOG_OFFSET_EXPIRED
+        return Err(Failure(kind, detail))
+
+    def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+    ) -> tuple[int, bytes]:
+        if self._client is None:
+            self._client = KeptClient(
+                self._address.ip,
+                self._address.port,
+                1,
+                CALL_TIMEOUT_S,
+                self._silent_s,
+            )
+        response = self._client.request(method, path, body=body)
+        return response.status_code, bytes(response.read())
+
+
+def _parse_page(body: bytes, offset: int) -> Result[RawPage, Failure]:
+    try:
+        records = list(_split_records(body[_OFFSETS.size :]))
+    except (struct.error, IndexError, UnicodeDecodeError) as error:
+        return Err(Failure(ErrorKind.LOG_UNAVAILABLE, repr(error)))
+    return Ok(RawPage(records, offset + len(records)))
+
+
+def _split_records(body: bytes) -> Any:
+    position = 0
+    while position < len(body):
+        (length,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        record = body[position : position + length]
+        if len(record) < length:
+            raise IndexError('a record is cut off')
+        position += length
+        yield _split_record(record)
+
+
+def _split_record(record: bytes) -> tuple[str, bytes]:
+    # A foreign writer's key may be no text; its record then names nothing.
+    if not record:
+        return '', b''
+    key_end = 1 + record[0]
+    return record[1:key_end].decode('utf-8', 'replace'), record[key_end:]
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -133,6 +133,45 @@
   1: bool stored
 }
 
+struct WeightsTarget {
+  1: string service_name
+  2: string model
+  3: i64 version
+  4: i64 known_for_ms
+}
+
+// The datagrams below are binary-encoded, one in each packet.
+struct EntryHello {
+  1: string host_id
+  2: string peer_address
+  3: string data_centre
+  4: list<WeightsTarget> targets
+  5: i32 turn
+  6: i32 turns
+}
+
+struct LoadReport {
+  1: string address
+  2: string peer_address
+  3: string data_centre
+  4: string service_name
+  5: i64 count
+  6: bool reachable
+  7: i64 started_ms
+  8: i32 active
+  9: i32 queued
+  10: i64 version
+  11: i32 layers_start
+  12: i32 layers_end
+  13: bool switching
+}
+
+// Exactly one field is set.
+struct Datagram {
+  1: EntryHello entry_hello
+  2: LoadReport load_report
+}
+
 service Peer {
   ChunkAnswer fetch_chunk(1: FetchChunk request)
   WeightsStatus weights_status(1: GetWeightsStatus request)
