--- a/apricotpin/components/dispatch/decisions.py
+++ b/apricotpin/components/dispatch/decisions.py
@@ -143,11 +143,11 @@
     now_s: float,
 ) -> bool:
     """Tell whether a request may begin on a version."""
-    target = state.targets.get(model)
-    if target is None or version >= target.version:
-        return True
-    known_for_s = now_s - target.since_s
-    return known_for_s < state.bounds.version_s - const.VERSION_MARGIN_S
+    allowed_s = state.bounds.version_s - const.VERSION_MARGIN_S
+    return all(
+        declared <= version or now_s - since_s < allowed_s
+        for declared, since_s in state.targets.get(model, {}).items()
+    )
 
 
 def note_report(upstream: Upstream, report: LoadReport, now_s: float) -> None:
--- a/apricotpin/components/dispatch/service.py
+++ b/apricotpin/components/dispatch/service.py
@@ -11,7 +11,6 @@
 from apricotpin.components.dispatch.state import (
     DispatchState,
     IdleConnection,
-    Target,
     Upstream,
     Window,
 )
@@ -71,8 +70,8 @@
         age_s = message.known_for_s
         if age_s < 0:
             age_s = self._state.bounds.version_s
-        target = Target(message.target.version, time.monotonic() - age_s)
-        self._state.targets[message.target.model] = target
+        declared = self._state.targets.setdefault(message.target.model, {})
+        declared[message.target.version] = time.monotonic() - age_s
         reply.ok()
 
     def list_upstream(
--- a/apricotpin/components/dispatch/state.py
+++ b/apricotpin/components/dispatch/state.py
@@ -52,16 +52,6 @@
         self.idle: list[IdleConnection] = []
 
 
-class Target:
-    """Hold a declared version and since when it has been known."""
-
-    __slots__ = ('since_s', 'version')
-
-    def __init__(self, version: int, since_s: float) -> None:
-        self.version = version
-        self.since_s = since_s
-
-
 class Window:
     """Count requests and retries of a service by second."""
 
@@ -90,6 +80,7 @@
         self.bounds = bounds
         self.entry_hosts = 1
         self.services: dict[str, ServiceSpec] = {}
-        self.targets: dict[str, Target] = {}
+        # When each declared version of a model became known.
+        self.targets: dict[str, dict[int, float]] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.windows: dict[str, Window] = {}
--- a/apricotpin/components/gateway/application.py
+++ b/apricotpin/components/gateway/application.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 import gevent
-from result import Result
+from loguru import logger
+from result import Err, Result
 
 from apricotpin.components.gateway import decisions, serving
 from apricotpin.components.gateway.attempts import Attempt, Job
@@ -18,7 +19,7 @@
 from apricotpin.components.gateway.service import BeginCall, EndCall
 from apricotpin.const import SERVICE_GATEWAY, SERVICE_METRICS
 from apricotpin.core import Kernel
-from apricotpin.errors import Failure, answer_for
+from apricotpin.errors import ErrorKind, Failure, answer_for
 from apricotpin.helpers.metrics import count_refusal
 from apricotpin.messages.calls import CallCodec, CallHead, Headers
 from apricotpin.messages.desired import RouteKind
@@ -55,7 +56,7 @@
 
     def run(self, start_response: StartResponse) -> Iterator[bytes]:
         """Yield the parts of the answer."""
-        answered = self._obtain()
+        answered = self._obtain_safely()
         if answered.is_err():
             yield self._refuse(answered.err_value, start_response)
             return
@@ -87,6 +88,14 @@
             self._outcome,
         )
 
+    def _obtain_safely(self) -> Result[Attempt, Failure]:
+        try:
+            return self._obtain()
+        except Exception as error:
+            # A fault in the code must not leave the caller without answer.
+            logger.opt(exception=True).error('request_failed')
+            return Err(Failure(ErrorKind.INTERNAL, repr(error)))
+
     def _obtain(self) -> Result[Attempt, Failure]:
         begun = self._kernel.call(SERVICE_GATEWAY, BeginCall())
         self._stopping = begun.is_err() or begun.ok_value.stopping
--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -1,7 +1,7 @@
 """One attempt: send a request to an upstream and read its answer."""
 
 import time
-from typing import Any
+from typing import Any, Final
 
 from loguru import logger
 from result import Result
@@ -22,6 +22,9 @@
 from apricotpin.messages.desired import RouteKind
 from apricotpin.messages.upstreams import AttemptDone, PickUpstream, Picked
 
+# A load that was never reported is shown with this age.
+_AGE_SHOWN_S: Final = 99.0
+
 
 class Job:
     """Own one request on its way through upstreams."""
@@ -241,7 +244,7 @@
         config=job.resolved.version,
         instance=picked.instance_id,
         load=picked.load,
-        load_age_ms=min(99999, int(picked.load_age_s * 1000)),
+        load_age_ms=int(min(_AGE_SHOWN_S, picked.load_age_s) * 1000),
         version=picked.version,
         held_ms=int((time.monotonic() - asked_s) * 1000),
         attempt=job.progress.sent + 1,
--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -22,6 +22,9 @@
 DRAIN_AHEAD_S: Final = 1.0
 # After this part of the time allowed, a worker waits for no other.
 SWITCH_LATEST_SHARE: Final = 0.78
+# A version of which this part is here is finished before a newer one: the
+# rest takes less than the two seconds that the newer one can spare.
+ALMOST_HERE_SHARE: Final = 0.6
 # An order that had no effect after this time is given again.
 ORDER_EFFECT_S: Final = 6.0
 CALL_TIMEOUT_S: Final = 4.0
--- a/apricotpin/components/installer/decisions.py
+++ b/apricotpin/components/installer/decisions.py
@@ -45,6 +45,26 @@
     return whole or view.version > install.version
 
 
+def supersedes(
+    install: Install | None,
+    view: WorkerView,
+    version: int,
+) -> bool:
+    """Tell whether a version is installed in place of the one in progress.
+
+    The workers that switch first finish a version that is almost here, so
+    that its bound is kept while the others fetch the newer one.
+    """
+    if install is None:
+        return True
+    if version <= install.version:
+        return False
+    if is_installed(view, install) or install.group > 0:
+        return True
+    held = len(install.pieces)
+    return held < const.ALMOST_HERE_SHARE * max(1, len(install.digests))
+
+
 def next_index(install: Install) -> int | None:
     """Return the piece to fetch next; the manifest comes first."""
     if not install.digests:
@@ -109,7 +129,7 @@
     serves_nothing = view.version == 0 or view.layers_end < install.layers
     if serves_nothing or install.turn == 0:
         return True
-    return now_s >= install.declared_s
+    return now_s >= install.switch_by_s
 
 
 def is_switching(install: Install, view: WorkerView, now_s: float) -> bool:
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -243,23 +243,38 @@
         now_s: float,
     ) -> None:
         install = self._install
-        latest_s = (
-            self._settings.bounds.version_s * const.SWITCH_LATEST_SHARE
-        )
-        known_for_s = max(0, target.known_for_ms) / 1000
-        if install is None or target.version > install.version:
-            declared_s = now_s - known_for_s + latest_s
-            install = Install(target.model, target.version, now_s, declared_s)
-            self._install = install
-            logger.bind(
-                model=target.model,
-                version=target.version,
-                known_for_ms=target.known_for_ms,
-                entry_host=hello.host_id,
-            ).info('version_wanted')
+        if decisions.supersedes(install, self._view, target.version):
+            install = self._begin(target, hello, now_s)
         near = hello.data_centre == self._settings.data_centre
         if near and target.version == install.version:
             install.turn = hello.turn
+            install.group = hello.group
+
+    def _begin(
+        self,
+        target: WeightsTarget,
+        hello: EntryHello,
+        now_s: float,
+    ) -> Install:
+        known_for_s = max(0, target.known_for_ms) / 1000
+        allowed_s = self._settings.bounds.version_s * const.SWITCH_LATEST_SHARE
+        switch_by_s = now_s - known_for_s + allowed_s
+        before = self._install
+        if before is not None and not decisions.is_installed(
+            self._view,
+            before,
+        ):
+            # The version that was skipped has an earlier bound.
+            switch_by_s = min(switch_by_s, before.switch_by_s)
+        install = Install(target.model, target.version, now_s, switch_by_s)
+        self._install = install
+        logger.bind(
+            model=target.model,
+            version=target.version,
+            known_for_ms=target.known_for_ms,
+            entry_host=hello.host_id,
+        ).info('version_wanted')
+        return install
 
     def _take_report(self, report: WorkerReport) -> None:
         view, install = self._view, self._install
--- a/apricotpin/components/installer/state.py
+++ b/apricotpin/components/installer/state.py
@@ -7,22 +7,24 @@
 class Install:
     """Hold the progress of one version; times are of the monotonic clock.
 
-    declared_s is when the version was declared, as far as is known; turn
-    counts the workers that switch first; pieces holds checked content;
-    scanned holds once the worker's staged pieces were looked through.
+    switch_by_s is when the worker waits for no other any more; turn counts
+    the workers that switch first and group is 0 for those; pieces holds
+    checked content; scanned holds once the worker's staged pieces were looked
+    through.
     """
 
     __slots__ = (
         'begun_s',
-        'declared_s',
         'digests',
         'fetching',
+        'group',
         'layers',
         'model',
         'ordered_s',
         'pieces',
         'scanned',
         'staged',
+        'switch_by_s',
         'turn',
         'version',
     )
@@ -32,12 +34,13 @@
         model: str,
         version: int,
         begun_s: float,
-        declared_s: float,
+        switch_by_s: float,
     ) -> None:
         self.model = model
         self.version = version
         self.begun_s = begun_s
-        self.declared_s = declared_s
+        self.switch_by_s = switch_by_s
+        self.group = 0
         self.turn = 0
         self.layers = 0
         self.digests: list[str] = []
--- a/apricotpin/components/presence/decisions.py
+++ b/apricotpin/components/presence/decisions.py
@@ -41,23 +41,27 @@
     return report.count > last or report.count < last / 2
 
 
-def turn_of(
+def group_of(
     address: str,
     reports: list[LoadReport],
-    version: int,
-) -> int:
-    """Return how many workers must switch before the one at an address.
+) -> tuple[int, list[LoadReport]]:
+    """Return the group of the worker at an address, and those before it.
 
     The workers of a data centre and service switch in groups by address.
     """
     ordered = sorted(reports, key=lambda report: report.address)
     addresses = [report.address for report in ordered]
     if address not in addresses:
-        return 0
+        return 0, []
     size = -(-len(ordered) // const.SWITCH_GROUPS)
     group = addresses.index(address) // size
+    return group, ordered[: group * size]
+
+
+def count_behind(reports: list[LoadReport], version: int) -> int:
+    """Return how many workers hold an older version."""
     return sum(
         1
-        for report in ordered[: group * size]
+        for report in reports
         if report.reachable and 0 < report.version < version
     )
--- a/apricotpin/components/presence/service.py
+++ b/apricotpin/components/presence/service.py
@@ -1,7 +1,7 @@
 """Own the datagram socket and what entry hosts and agents say on it."""
 
 import time
-from typing import Any
+from typing import Any, Final
 
 import gevent
 from gevent import socket
@@ -21,6 +21,9 @@
 from apricotpin.messages import desired, fleet, upstreams
 from apricotpin.messages.feeds import EntryHost, Feed, ReadSnapshot, RecordHost
 
+# Versions are counted from one, and the first is never declared.
+_UNDECLARED: Final = (1, None)
+
 
 class Received:
     """Carry a message that arrived in a datagram."""
@@ -161,6 +164,8 @@
             logger.bind(entry_host=hello.host_id).info('entry_host_heard')
             self._announce_entries()
         for target in hello.targets:
+            if target.version == _UNDECLARED[0]:
+                continue
             self._kernel.send(
                 SERVICE_FOLLOWER,
                 fleet.TargetHeard(
@@ -208,29 +213,31 @@
 
     def _greet(self, agent: str, data_centre: str) -> None:
         targets = self._current_targets()
-        turn = 0
+        turn, group = 0, 0
         seen = self._agents.get(agent)
         if seen is not None:
-            turn = self._turn_of(seen.message)
+            turn, group = self._turn_of(seen.message)
         hello = fleet.EntryHello(
             self._own.host_id,
             self._own.peer_address,
             self._own.data_centre,
             targets,
             turn,
+            group,
         )
         send(self._socket, agent, hello)
 
-    def _turn_of(self, report: fleet.LoadReport) -> int:
+    def _turn_of(self, report: fleet.LoadReport) -> tuple[int, int]:
         model = self._models.get(report.service_name, '')
-        version, _ = self._targets.get(model, (0, None))
+        version, _ = self._targets.get(model, _UNDECLARED)
         fellows = [
             seen.message
             for seen in self._agents.values()
             if seen.message.service_name == report.service_name
             and seen.message.data_centre == report.data_centre
         ]
-        return decisions.turn_of(report.address, fellows, version)
+        group, earlier = decisions.group_of(report.address, fellows)
+        return decisions.count_behind(earlier, version), group
 
     def _greet_entries(self) -> None:
         hello = fleet.EntryHello(
@@ -248,16 +255,16 @@
 
     def _current_targets(self) -> list[fleet.WeightsTarget]:
         now_s = time.monotonic()
-        services = {model: name for name, model in self._models.items()}
-        return [
-            fleet.WeightsTarget(
-                services.get(model, ''),
-                model,
-                version,
-                -1 if since_s is None else int((now_s - since_s) * 1000),
+        targets = []
+        for service_name, model in self._models.items():
+            version, since_s = self._targets.get(model, _UNDECLARED)
+            known_for_ms = -1
+            if since_s is not None:
+                known_for_ms = int((now_s - since_s) * 1000)
+            targets.append(
+                fleet.WeightsTarget(service_name, model, version, known_for_ms),
             )
-            for model, (version, since_s) in self._targets.items()
-        ]
+        return targets
 
 
 class AgentPresence:
--- a/apricotpin/messages/fleet.py
+++ b/apricotpin/messages/fleet.py
@@ -25,18 +25,18 @@
 class EntryHello:
     """Tell agents and entry hosts where this entry host is reached.
 
-    turn is the number of workers of the receiver's data centre and service
-    that switch to a new version before the receiver's, and turns the number
-    of groups in which they switch.
+    The workers of a data centre and service switch to a new version in
+    groups: group is that of the receiver's worker, and turn the number of
+    workers in earlier groups that have not switched yet.
     """
 
     __slots__ = (
         'data_centre',
+        'group',
         'host_id',
         'peer_address',
         'targets',
         'turn',
-        'turns',
     )
 
     def __init__(
@@ -46,14 +46,14 @@
         data_centre: str,
         targets: list[WeightsTarget],
         turn: int = 0,
-        turns: int = 1,
+        group: int = 0,
     ) -> None:
         self.host_id = host_id
         self.peer_address = peer_address
         self.data_centre = data_centre
         self.targets = targets
         self.turn = turn
-        self.turns = turns
+        self.group = group
 
 
 class LoadReport:
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -147,7 +147,7 @@
   3: string data_centre
   4: list<WeightsTarget> targets
   5: i32 turn
-  6: i32 turns
+  6: i32 group
 }
 
 struct LoadReport {
