Fetch one piece at a time on agents

Cause: three pieces in transfer filled the agent's link of 3.8 Mbit/s, and requests to its worker waited behind them (p50 377 ms at 20 s, before any worker switched).

--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -8,8 +8,9 @@
 REPORT_TIMEOUT_S: Final = 2.5
 # A worker that did not answer so many reports in a row is not there.
 UNREACHABLE_AFTER: Final = 2
-# Pieces in transfer at once: more only queue on the machine's narrow link.
-FETCHES: Final = 3
+# One piece in transfer at a time: more only queue on the narrow link, before
+# the requests that arrive on it.
+FETCHES: Final = 1
 FETCH_WAIT_MS: Final = 2000
 FETCH_TIMEOUT_S: Final = 3.0
 RETRY_S: Final = 0.15
