--- a/apricotpin/bootstrap.py
+++ b/apricotpin/bootstrap.py
@@ -45,10 +45,10 @@
             const.SERVICE_PLATFORM,
             const.SERVICE_PEER_API,
             const.SERVICE_PRESENCE,
-            const.SERVICE_RELAY,
+            const.COMPONENT_RELAY,
             const.SERVICE_ROUTES,
             const.SERVICE_DISPATCH,
-            const.SERVICE_FOLLOWER,
+            const.COMPONENT_FOLLOWER,
             const.SERVICE_GATEWAY,
         ),
         const.ROLE_HOST_AGENT: (
--- a/apricotpin/components/dispatch/const.py
+++ b/apricotpin/components/dispatch/const.py
@@ -11,7 +11,7 @@
 PLAIN_QUEUE_SHARE: Final = 1.0
 # Part of a worker's slots that a nearer one may be busier by: the way to
 # another data centre takes a few ms of a goal of some hundred.
-DISTANCE_COST: Final = 0.2
+DISTANCE_COST: Final = 0.35
 # What a worker that is about to switch weights, or that fails all its
 # requests, costs in the same measure.
 SWITCHING_COST: Final = 4.0
--- a/apricotpin/components/follower/__init__.py
+++ b/apricotpin/components/follower/__init__.py
@@ -3,18 +3,24 @@
 from result import Ok, Result
 
 from apricotpin.components.follower.const import LAPSE_CHECK_S
-from apricotpin.components.follower.service import (
+from apricotpin.components.follower.events import (
     CheckLapsed,
     FeedRead,
-    FollowerService,
-    follow,
+    GetPeers,
+    GetRecords,
 )
-from apricotpin.const import SERVICE_FOLLOWER
+from apricotpin.components.follower.reading import follow
+from apricotpin.components.follower.service import FollowerService
+from apricotpin.const import SERVICE_CONFIGURATION
 from apricotpin.core import Kernel, Reply, Started
 from apricotpin.errors import Failure
 from apricotpin.host_settings import HostSettings
-from apricotpin.messages.feeds import Feed
-from apricotpin.messages.fleet import TargetHeard
+from apricotpin.messages.feeds import Feed, ReadFeed
+from apricotpin.messages.fleet import (
+    ConfigHeard,
+    EntryHostsChanged,
+    TargetHeard,
+)
 
 
 def setup(kernel: Kernel, _settings: HostSettings) -> Result[None, Failure]:
@@ -24,15 +30,20 @@
     def start(_message: Started, reply: Reply) -> None:
         for feed in Feed:
             kernel.spawn(follow, kernel, feed)
-        kernel.every(SERVICE_FOLLOWER, CheckLapsed(), LAPSE_CHECK_S)
+        kernel.every(SERVICE_CONFIGURATION, CheckLapsed(), LAPSE_CHECK_S)
         reply.ok()
 
     kernel.register(
-        SERVICE_FOLLOWER,
+        SERVICE_CONFIGURATION,
         {
             Started: start,
             FeedRead: service.take_read,
             TargetHeard: service.hear_target,
+            ConfigHeard: service.hear_config,
+            EntryHostsChanged: service.change_hosts,
+            GetPeers: service.peers,
+            GetRecords: service.records,
+            ReadFeed: service.read_feed,
             CheckLapsed: service.check_lapsed,
         },
     )
--- a/apricotpin/components/follower/const.py
+++ b/apricotpin/components/follower/const.py
@@ -19,3 +19,7 @@
 # about two seconds of its return.
 LAPSE_S: Final = 2.5
 LAPSE_CHECK_S: Final = 0.5
+# After the store turned this host away, peers are asked first for this time.
+DIRECT_RETRY_S: Final = 1.5
+PEERS_ASKED: Final = 2
+PEER_TIMEOUT_S: Final = 1.5
--- /dev/null
+++ b/apricotpin/components/follower/events.py
@@ -0,0 +1,43 @@
+"""Messages within the follower component."""
+
+from result import Result
+
+from apricotpin.errors import Failure
+from apricotpin.messages.feeds import Feed, FeedPage
+
+
+class FeedRead:
+    """Carry the outcome of one read; whole holds for a snapshot."""
+
+    __slots__ = ('feed', 'page', 'whole')
+
+    def __init__(
+        self,
+        feed: Feed,
+        page: Result[FeedPage, Failure],
+        whole: bool,
+    ) -> None:
+        self.feed = feed
+        self.page = page
+        self.whole = whole
+
+
+class GetPeers:
+    """Ask for the entry hosts that may read a feed for this one."""
+
+    __slots__ = ()
+
+
+class GetRecords:
+    """Ask for the records of a feed as far as this host knows them."""
+
+    __slots__ = ('feed',)
+
+    def __init__(self, feed: Feed) -> None:
+        self.feed = feed
+
+
+class CheckLapsed:
+    """Take upstreams as gone whose entries did not return in time."""
+
+    __slots__ = ()
--- /dev/null
+++ b/apricotpin/components/follower/reading.py
@@ -0,0 +1,198 @@
+"""Greenlets that read feeds, from the store or through another host."""
+
+import random
+import time
+from typing import Any
+
+import gevent
+from loguru import logger
+from result import Err, Result
+
+from apricotpin.components.follower import const
+from apricotpin.components.follower.events import (
+    FeedRead,
+    GetPeers,
+    GetRecords,
+)
+from apricotpin.const import SERVICE_CONFIGURATION, SERVICE_STORE
+from apricotpin.core import Kernel, Reply
+from apricotpin.errors import ErrorKind, Failure
+from apricotpin.helpers.backoff import jittered_pause
+from apricotpin.helpers.peer_client import PeerClient
+from apricotpin.messages.feeds import (
+    DecodeRecords,
+    Feed,
+    FeedPage,
+    FeedRecord,
+    FeedRecords,
+    ReadChanges,
+    ReadFeed,
+    ReadSnapshot,
+)
+
+
+def follow(kernel: Kernel, feed: Feed) -> None:
+    """Read a feed over and over; a read that fails is repeated soon."""
+    pause_s = jittered_pause(
+        const.RETRY_FIRST_S,
+        const.RETRY_LONGEST_S,
+        random.random,
+    )
+    wait_s = 0 if feed is Feed.UPSTREAMS else const.CHANGES_WAIT_S
+    rest_s = const.CHANGES_PAUSE_S if wait_s else const.UPSTREAMS_PAUSE_S
+    reader = FeedReader(kernel, feed, wait_s)
+    failures = 0
+    while True:
+        whole = reader.offset < 0
+        page = reader.read()
+        kernel.send(SERVICE_CONFIGURATION, FeedRead(feed, page, whole))
+        if page.is_ok():
+            failures = 0
+            gevent.sleep(rest_s)
+        else:
+            failures += 1
+            gevent.sleep(pause_s(failures))
+
+
+class FeedReader:
+    """Own the position in a feed and whether a peer reads it for this host.
+
+    The store may turn this host away while it serves others.
+    """
+
+    __slots__ = (
+        '_client',
+        '_direct_from_s',
+        '_feed',
+        '_kernel',
+        '_wait_s',
+        'offset',
+    )
+
+    def __init__(self, kernel: Kernel, feed: Feed, wait_s: float) -> None:
+        self.offset = -1
+        self._kernel = kernel
+        self._feed = feed
+        self._wait_s = wait_s
+        self._client = PeerClient()
+        self._direct_from_s = float('-inf')
+
+    def read(self) -> Result[FeedPage, Failure]:
+        """Return the next entries, from the store or through a peer."""
+        page: Result[FeedPage, Failure]
+        now_s = time.monotonic()
+        if now_s >= self._direct_from_s:
+            page = self._read_direct()
+            if _is_answered(page):
+                return self._advance(page)
+            self._direct_from_s = time.monotonic() + const.DIRECT_RETRY_S
+        return self._advance(self._read_through_peers())
+
+    def _advance(
+        self,
+        page: Result[FeedPage, Failure],
+    ) -> Result[FeedPage, Failure]:
+        if page.is_ok():
+            self.offset = page.ok_value.next_offset
+        elif page.err_value.kind is ErrorKind.LOG_OFFSET_EXPIRED:
+            self.offset = -1
+        return page
+
+    def _read_direct(self) -> Result[FeedPage, Failure]:
+        return read_store(self._kernel, self._feed, self.offset, self._wait_s)
+
+    def _read_through_peers(self) -> Result[FeedPage, Failure]:
+        failed = Err(Failure(ErrorKind.LOG_UNAVAILABLE, 'no peer is known'))
+        peers = self._kernel.call(SERVICE_CONFIGURATION, GetPeers())
+        addresses = list(peers.unwrap_or(()))
+        random.shuffle(addresses)
+        for address in addresses[: const.PEERS_ASKED]:
+            page = read_peer(
+                self._kernel,
+                self._client,
+                address,
+                ReadFeed(
+                    self._feed.value,
+                    self.offset,
+                    int(self._wait_s * 1000),
+                ),
+            )
+            if _is_answered(page):
+                return page
+            failed = page
+        return failed
+
+
+def read_store(
+    kernel: Kernel,
+    feed: Feed,
+    offset: int,
+    wait_s: float,
+) -> Result[FeedPage, Failure]:
+    """Read a feed from the store; an offset below 0 asks for a snapshot."""
+    message: Any = ReadSnapshot(feed)
+    if offset >= 0:
+        message = ReadChanges(feed, offset, wait_s)
+    return kernel.call(SERVICE_STORE, message, const.READ_TIMEOUT_S)
+
+
+def read_peer(
+    kernel: Kernel,
+    client: PeerClient,
+    address: str,
+    message: ReadFeed,
+) -> Result[FeedPage, Failure]:
+    """Read a feed through another entry host."""
+    timeout_s = message.wait_ms / 1000 + const.PEER_TIMEOUT_S
+    asked = client.call(address, 'read_feed', message, timeout_s)
+    if asked.is_err():
+        return asked
+    records: FeedRecords = asked.ok_value
+    if records.fault:
+        return Err(Failure(ErrorKind(records.fault), f'at {address}'))
+    wanted = DecodeRecords(Feed(message.feed), records)
+    return kernel.call(SERVICE_STORE, wanted)
+
+
+def read_for_peer(kernel: Kernel, message: ReadFeed, reply: Reply) -> None:
+    """Read a feed from the store for another entry host, not through one.
+
+    A host that starts while the store is away gets what this one remembers.
+    """
+    wait_s = message.wait_ms / 1000
+    feed = Feed(message.feed)
+    page = read_store(kernel, feed, message.offset, wait_s)
+    if page.is_err() and message.offset < 0:
+        reply.forward(kernel.call(SERVICE_CONFIGURATION, GetRecords(feed)))
+        return
+    if page.is_err():
+        reply.ok(FeedRecords(0, [], page.err_value.kind.value))
+        return
+    records = [
+        FeedRecord(entry.key, entry.content) for entry in page.ok_value.entries
+    ]
+    reply.ok(FeedRecords(page.ok_value.next_offset, records))
+
+
+def fetch_from_peer(kernel: Kernel, address: str) -> None:
+    """Fetch the operator's entries from a host that has newer ones."""
+    client = PeerClient()
+    message = ReadFeed(Feed.OPERATOR.value, -1, 0)
+    page = read_peer(kernel, client, address, message)
+    client.close()
+    if page.is_ok():
+        kernel.send(
+            SERVICE_CONFIGURATION,
+            FeedRead(Feed.OPERATOR, page, whole=True),
+        )
+    else:
+        logger.bind(
+            entry_host=address,
+            error=repr(page.err_value),
+        ).warning('desired_state_not_fetched')
+
+
+def _is_answered(page: Result[FeedPage, Failure]) -> bool:
+    if page.is_ok():
+        return True
+    return page.err_value.kind is ErrorKind.LOG_OFFSET_EXPIRED
--- a/apricotpin/components/follower/service.py
+++ b/apricotpin/components/follower/service.py
@@ -1,26 +1,19 @@
 """Follow the store's feeds and announce what changes."""
 
-import random
 import time
-from typing import Any
 
-import gevent
 from loguru import logger
-from result import Result
-
-from apricotpin.components.follower import decisions
-from apricotpin.components.follower.const import (
-    CHANGES_PAUSE_S,
-    CHANGES_WAIT_S,
-    READ_TIMEOUT_S,
-    RETRY_FIRST_S,
-    RETRY_LONGEST_S,
-    UPSTREAMS_PAUSE_S,
+
+from apricotpin.components.follower import decisions, reading
+from apricotpin.components.follower.events import (
+    CheckLapsed,
+    FeedRead,
+    GetPeers,
+    GetRecords,
 )
-from apricotpin.const import SERVICE_FOLLOWER, SERVICE_STORE
+from apricotpin.const import SERVICE_STORE
 from apricotpin.core import Kernel, Reply
-from apricotpin.errors import ErrorKind, Failure
-from apricotpin.helpers.backoff import jittered_pause
+from apricotpin.errors import ErrorKind
 from apricotpin.messages.desired import (
     DesiredState,
     DesiredStateChanged,
@@ -32,10 +25,16 @@
     Feed,
     FeedEntry,
     FeedPage,
-    ReadChanges,
-    ReadSnapshot,
+    FeedRecord,
+    FeedRecords,
+    ReadFeed,
+)
+from apricotpin.messages.fleet import (
+    ConfigHeard,
+    EntryHostListed,
+    EntryHostsChanged,
+    TargetHeard,
 )
-from apricotpin.messages.fleet import EntryHostListed, TargetHeard
 from apricotpin.messages.upstreams import (
     UpstreamEntry,
     UpstreamListed,
@@ -43,56 +42,88 @@
 )
 
 
-class FeedRead:
-    """Carry the outcome of one read; whole holds for a snapshot."""
-
-    __slots__ = ('feed', 'page', 'whole')
-
-    def __init__(
-        self,
-        feed: Feed,
-        page: Result[FeedPage, Failure],
-        whole: bool,
-    ) -> None:
-        self.feed = feed
-        self.page = page
-        self.whole = whole
-
-
-class CheckLapsed:
-    """Take upstreams as gone whose entries did not return in time."""
-
-    __slots__ = ()
-
-
 class FollowerService:
     """Own what the store's feeds said last."""
 
-    __slots__ = ('_kernel', '_listing', '_state', '_targets')
+    __slots__ = (
+        '_asked_version',
+        '_kernel',
+        '_listing',
+        '_offsets',
+        '_peers',
+        '_records',
+        '_state',
+        '_targets',
+    )
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._listing = decisions.Listing()
         self._state: DesiredState | None = None
         self._targets: dict[str, int] = {}
+        self._peers: tuple[str, ...] = ()
+        self._asked_version = 0
+        self._records: dict[Feed, dict[str, bytes]] = {}
+        self._offsets: dict[Feed, int] = {}
 
     def take_read(self, message: FeedRead, reply: Reply) -> None:
         """Announce the changes that a read brought."""
         self._note_reachable(message)
         if message.page.is_ok():
             entries = message.page.ok_value.entries
+            self._remember(message.feed, message.page.ok_value, message.whole)
             for entry in entries:
                 self._take_entry(message.feed, entry, message.whole)
             if message.whole and message.feed is Feed.UPSTREAMS:
                 self._drop_missing({entry.key for entry in entries})
         reply.ok()
 
+    def records(self, message: GetRecords, reply: Reply) -> None:
+        """Answer with the records of a feed as they were read last."""
+        known = self._records.get(message.feed, {})
+        if not known:
+            fault = ErrorKind.LOG_UNAVAILABLE.value
+            reply.ok(FeedRecords(0, [], fault))
+            return
+        records = [FeedRecord(key, text) for key, text in known.items()]
+        reply.ok(FeedRecords(self._offsets[message.feed], records))
+
     def hear_target(self, message: TargetHeard, reply: Reply) -> None:
         """Take a version that another entry host knows, with its age."""
         target = ModelVersion(message.model, message.version)
         self._take_target(target, message.known_for_s)
         reply.ok()
 
+    def hear_config(self, message: ConfigHeard, reply: Reply) -> None:
+        """Fetch a newer desired state from the host that has it."""
+        known = 0 if self._state is None else self._state.version
+        if message.version > max(known, self._asked_version):
+            self._asked_version = message.version
+            logger.bind(
+                version=message.version,
+                entry_host=message.peer_address,
+                known=known,
+            ).info('desired_state_heard')
+            self._kernel.spawn(
+                reading.fetch_from_peer,
+                self._kernel,
+                message.peer_address,
+            )
+        reply.ok()
+
+    def change_hosts(self, message: EntryHostsChanged, reply: Reply) -> None:
+        """Learn which entry hosts may read for this one."""
+        self._peers = tuple(host.peer_address for host in message.hosts[1:])
+        reply.ok()
+
+    def peers(self, _message: GetPeers, reply: Reply) -> None:
+        """Answer with the addresses of other entry hosts."""
+        reply.ok(self._peers)
+
+    def read_feed(self, message: ReadFeed, reply: Reply) -> None:
+        """Read a feed for another entry host."""
+        self._kernel.spawn(reading.read_for_peer, self._kernel, message, reply)
+
     def check_lapsed(self, _message: CheckLapsed, reply: Reply) -> None:
         """Announce the upstreams whose entries did not return."""
         now_s = time.monotonic()
@@ -100,6 +131,16 @@
             self._announce_gone(instance_id, 'entry_did_not_return')
         reply.ok()
 
+    def _remember(self, feed: Feed, page: FeedPage, whole: bool) -> None:
+        known = {} if whole else self._records.get(feed, {})
+        for entry in page.entries:
+            if entry.content:
+                known[entry.key] = entry.content
+            else:
+                known.pop(entry.key, None)
+        self._records[feed] = known
+        self._offsets[feed] = page.next_offset
+
     def _note_reachable(self, message: FeedRead) -> None:
         if message.feed is not Feed.UPSTREAMS:
             return
@@ -183,36 +224,3 @@
     def _announce_gone(self, instance_id: str, reason: str) -> None:
         logger.bind(instance=instance_id, reason=reason).info('upstream_gone')
         self._kernel.publish(UpstreamUnlisted(instance_id))
-
-
-def follow(kernel: Kernel, feed: Feed) -> None:
-    """Read a feed over and over; a read that fails is repeated soon."""
-    pause_s = jittered_pause(RETRY_FIRST_S, RETRY_LONGEST_S, random.random)
-    wait_s = 0 if feed is Feed.UPSTREAMS else CHANGES_WAIT_S
-    rest_s = CHANGES_PAUSE_S if wait_s else UPSTREAMS_PAUSE_S
-    offset = -1
-    failures = 0
-    while True:
-        page = _read(kernel, feed, offset, wait_s)
-        kernel.send(SERVICE_FOLLOWER, FeedRead(feed, page, offset < 0))
-        if page.is_ok():
-            failures = 0
-            offset = page.ok_value.next_offset
-            gevent.sleep(rest_s)
-            continue
-        failures += 1
-        if page.err_value.kind is ErrorKind.LOG_OFFSET_EXPIRED:
-            offset = -1
-        gevent.sleep(pause_s(failures))
-
-
-def _read(
-    kernel: Kernel,
-    feed: Feed,
-    offset: int,
-    wait_s: float,
-) -> Any:
-    message: Any = ReadSnapshot(feed)
-    if offset >= 0:
-        message = ReadChanges(feed, offset, wait_s)
-    return kernel.call(SERVICE_STORE, message, READ_TIMEOUT_S)
--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -20,12 +20,15 @@
 STATUS_OK: Final = 'ok'
 # Requests in progress end within about this time, so new ones are sent
 # elsewhere this long before the last piece arrives.
-DRAIN_AHEAD_S: Final = 1.0
+DRAIN_AHEAD_S: Final = 0.5
 # After this part of the time allowed, a worker waits for no other.
 SWITCH_LATEST_SHARE: Final = 0.78
 # A version of which this part is here is finished before a newer one: the
 # rest takes less than the two seconds that the newer one can spare.
 ALMOST_HERE_SHARE: Final = 0.6
+# A version of which nothing came for this long gives way to an older one
+# that the entry hosts hold: the origin may be away.
+STALL_S: Final = 1.0
 # An order that had no effect after this time is given again.
 ORDER_EFFECT_S: Final = 6.0
 CALL_TIMEOUT_S: Final = 4.0
--- a/apricotpin/components/installer/decisions.py
+++ b/apricotpin/components/installer/decisions.py
@@ -59,18 +59,26 @@
         return True
     if version <= install.version:
         return False
-    if is_installed(view, install) or install.group > 0:
+    if is_installed(view, install):
+        return True
+    if install.finish_first:
+        return False
+    if install.group > 0:
         return True
     held = len(install.pieces)
     return held < const.ALMOST_HERE_SHARE * max(1, len(install.digests))
 
 
-def next_index(install: Install) -> int | None:
-    """Return the piece to fetch next; the manifest comes first."""
+def next_index(install: Install, is_there: bool) -> int | None:
+    """Return the piece to fetch next; the manifest comes first.
+
+    is_there tells whether the worker answers.
+    """
     if not install.digests:
         wanted = const.MANIFEST_INDEX
         return None if wanted in install.fetching else wanted
-    if not install.scanned:
+    if not install.scanned and is_there:
+        # What is staged already needs no transfer.
         return None
     for index in range(len(install.digests)):
         if index not in install.pieces and index not in install.fetching:
@@ -99,6 +107,29 @@
     return [entries[name].hello.peer_address for name in names]
 
 
+def is_stalled(install: Install, now_s: float) -> bool:
+    """Tell whether nothing of a version has come for some time."""
+    complete = install.digests and len(install.pieces) == len(install.digests)
+    return not complete and now_s - install.progress_s > const.STALL_S
+
+
+def best_parked(
+    parked: dict[int, Install],
+    install: Install,
+    view: WorkerView,
+    now_s: float,
+) -> Install | None:
+    """Return an older version to install while a newer one does not come."""
+    if is_installed(view, install) or not is_stalled(install, now_s):
+        return None
+    newer = [
+        version
+        for version, one in parked.items()
+        if view.version < version < install.version and one.digests
+    ]
+    return parked[max(newer)] if newer else None
+
+
 def is_sound(install: Install, index: int, content: bytes | None) -> bool:
     """Tell whether content is the piece that the manifest names."""
     if content is None:
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -123,6 +123,7 @@
         '_install',
         '_kernel',
         '_loaders',
+        '_parked',
         '_settings',
         '_view',
     )
@@ -133,6 +134,8 @@
         self._entries: dict[str, Known] = {}
         self._view = WorkerView()
         self._install: Install | None = None
+        # Versions that were begun and not finished.
+        self._parked: dict[int, Install] = {}
         self._fetchers: list[Reply] = []
         self._loaders: list[Reply] = []
 
@@ -163,6 +166,7 @@
         else:
             self._take_report(message.report.ok_value)
         self._kernel.send(SERVICE_PRESENCE, AnnounceLoad(self.own_report()))
+        self._fall_back()
         self._go_on()
         reply.ok()
 
@@ -182,6 +186,7 @@
             self._take_manifest(install, message.content)
         elif decisions.is_sound(install, index, message.content):
             install.pieces[index] = message.content
+            install.progress_s = time.monotonic()
             self._log_if_complete(install)
         else:
             logger.bind(index=index, source=message.address).warning(
@@ -266,7 +271,14 @@
         ):
             # The version that was skipped has an earlier bound.
             switch_by_s = min(switch_by_s, before.switch_by_s)
-        install = Install(target.model, target.version, now_s, switch_by_s)
+            self._parked[before.version] = before
+        install = self._parked.pop(target.version, None) or Install(
+            target.model,
+            target.version,
+            now_s,
+            switch_by_s,
+        )
+        install.progress_s = now_s
         self._install = install
         logger.bind(
             model=target.model,
@@ -276,6 +288,29 @@
         ).info('version_wanted')
         return install
 
+    def _fall_back(self) -> None:
+        install = self._install
+        if install is None:
+            return
+        now_s = time.monotonic()
+        older = decisions.best_parked(
+            self._parked,
+            install,
+            self._view,
+            now_s,
+        )
+        if older is None:
+            return
+        logger.bind(
+            version=older.version,
+            instead_of=install.version,
+            pieces=len(older.pieces),
+        ).info('version_fallback')
+        self._parked[install.version] = install
+        self._install = self._parked.pop(older.version)
+        self._install.progress_s = now_s
+        self._install.finish_first = True
+
     def _take_report(self, report: WorkerReport) -> None:
         view, install = self._view, self._install
         was_there = decisions.is_reachable(view)
@@ -345,7 +380,10 @@
         if decisions.is_installed(view, install) and install.digests:
             return
         while self._fetchers:
-            index = decisions.next_index(install)
+            index = decisions.next_index(
+                install,
+                decisions.is_reachable(view),
+            )
             if index is None:
                 return
             addresses = decisions.order_entries(
--- a/apricotpin/components/installer/state.py
+++ b/apricotpin/components/installer/state.py
@@ -10,18 +10,21 @@
     switch_by_s is when the worker waits for no other any more; turn counts
     the workers that switch first and group is 0 for those; pieces holds
     checked content; scanned holds once the worker's staged pieces were looked
-    through.
+    through; progress_s is when the last piece came;
+    finish_first holds for a version that stands in for a newer one.
     """
 
     __slots__ = (
         'begun_s',
         'digests',
         'fetching',
+        'finish_first',
         'group',
         'layers',
         'model',
         'ordered_s',
         'pieces',
+        'progress_s',
         'scanned',
         'staged',
         'switch_by_s',
@@ -39,8 +42,10 @@
         self.model = model
         self.version = version
         self.begun_s = begun_s
+        self.progress_s = begun_s
         self.switch_by_s = switch_by_s
         self.group = 0
+        self.finish_first = False
         self.turn = 0
         self.layers = 0
         self.digests: list[str] = []
--- a/apricotpin/components/peer_api/dispatch.py
+++ b/apricotpin/components/peer_api/dispatch.py
@@ -35,6 +35,7 @@
         'sync_hosts': SERVICE_MEMBERS,
         'readiness': SERVICE_ADMIN,
         'config_state': SERVICE_CONFIGURATION,
+        'read_feed': SERVICE_CONFIGURATION,
         'claim': SERVICE_CLAIMS,
         'record_outcome': SERVICE_CLAIMS,
         'find_outcome': SERVICE_CLAIMS,
--- a/apricotpin/components/presence/decisions.py
+++ b/apricotpin/components/presence/decisions.py
@@ -9,7 +9,9 @@
 
     __slots__ = ('heard_s', 'message')
 
-    def __init__(self, message: EntryHello | LoadReport, heard_s: float) -> None:
+    def __init__(
+        self, message: EntryHello | LoadReport, heard_s: float
+    ) -> None:
         self.message = message
         self.heard_s = heard_s
 
@@ -21,9 +23,7 @@
 ) -> list[str]:
     """Remove and return those who were silent for too long."""
     silent = [
-        name
-        for name, one in seen.items()
-        if now_s - one.heard_s > longest_s
+        name for name, one in seen.items() if now_s - one.heard_s > longest_s
     ]
     for name in silent:
         del seen[name]
--- a/apricotpin/components/presence/service.py
+++ b/apricotpin/components/presence/service.py
@@ -10,7 +10,7 @@
 from apricotpin.components.presence import const, decisions
 from apricotpin.components.presence.decisions import Seen
 from apricotpin.const import (
-    SERVICE_FOLLOWER,
+    SERVICE_CONFIGURATION,
     SERVICE_PRESENCE,
     SERVICE_STORE,
 )
@@ -45,6 +45,7 @@
 
     __slots__ = (
         '_agents',
+        '_config_version',
         '_entries',
         '_kernel',
         '_listed',
@@ -72,6 +73,7 @@
         self._listed: dict[str, upstreams.UpstreamEntry] = {}
         self._models: dict[str, str] = {}
         self._targets: dict[str, Any] = {}
+        self._config_version = 0
         self._ticks = 0
 
     def change_state(
@@ -79,12 +81,17 @@
         message: desired.DesiredStateChanged,
         reply: Reply,
     ) -> None:
-        """Learn which model each service runs."""
+        """Learn which model each service runs, and tell others at once.
+
+        A host that the store turns away learns of a change from these.
+        """
         self._models = {
             spec.name: spec.engine.model
             for spec in message.state.services
             if spec.engine is not None
         }
+        self._config_version = message.state.version
+        self._greet_entries()
         reply.ok()
 
     def change_version(
@@ -163,11 +170,16 @@
         if known is None:
             logger.bind(entry_host=hello.host_id).info('entry_host_heard')
             self._announce_entries()
+        if hello.config_version > self._config_version:
+            self._kernel.send(
+                SERVICE_CONFIGURATION,
+                fleet.ConfigHeard(hello.peer_address, hello.config_version),
+            )
         for target in hello.targets:
             if target.version == _UNDECLARED[0]:
                 continue
             self._kernel.send(
-                SERVICE_FOLLOWER,
+                SERVICE_CONFIGURATION,
                 fleet.TargetHeard(
                     target.model,
                     target.version,
@@ -245,6 +257,7 @@
             self._own.peer_address,
             self._own.data_centre,
             self._current_targets(),
+            config_version=self._config_version,
         )
         addresses = {host.peer_address for host in self._recorded.values()}
         addresses.update(
--- a/apricotpin/components/relay/service.py
+++ b/apricotpin/components/relay/service.py
@@ -135,11 +135,15 @@
         message: desired.ModelVersionChanged,
         reply: Reply,
     ) -> None:
-        """Fetch a version at once where this host does so for others."""
+        """Fetch a new version at once where this host does so for others.
+
+        One that was declared earlier may be on all workers already.
+        """
         target = message.target
         key = _key(target.model, target.version)
         chain = decisions.chain_of(self._hosts, self._origin_place, key)
-        if decisions.leads(self._own, chain):
+        fresh = message.known_for_s >= 0
+        if fresh and decisions.leads(self._own, chain):
             self._holding(target.model, target.version)
         reply.ok()
 
@@ -232,9 +236,7 @@
             self._origin_place,
             key,
         )
-        trusted = [
-            one for one in sources if self._suspects.get(one, 0) < now_s
-        ]
+        trusted = [one for one in sources if self._suspects.get(one, 0) < now_s]
         return trusted or sources
 
     def _suspect(self, source: str, failure: Failure) -> None:
--- a/apricotpin/components/routes/decisions.py
+++ b/apricotpin/components/routes/decisions.py
@@ -33,9 +33,7 @@
     for routes in by_host.values():
         routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
     tenants = {
-        key: tenant
-        for tenant in state.tenants or ()
-        for key in tenant.api_keys
+        key: tenant for tenant in state.tenants or () for key in tenant.api_keys
     }
     return RouteTable(by_host, tenants, state.tenants is None, state.version)
 
--- a/apricotpin/const.py
+++ b/apricotpin/const.py
@@ -27,12 +27,14 @@
 SERVICE_STORE: Final = 'store'
 SERVICE_CALL_CODEC: Final = 'call_codec'
 SERVICE_ORIGIN: Final = 'origin'
-SERVICE_FOLLOWER: Final = 'follower'
+# Component that follows the store; it registers as the configuration.
+COMPONENT_FOLLOWER: Final = 'follower'
 SERVICE_ROUTES: Final = 'routes'
 SERVICE_DISPATCH: Final = 'dispatch'
 SERVICE_GATEWAY: Final = 'gateway'
 SERVICE_PRESENCE: Final = 'presence'
-SERVICE_RELAY: Final = 'relay'
+# Component that passes weights on; it registers as the weights service.
+COMPONENT_RELAY: Final = 'relay'
 SERVICE_INSTALLER: Final = 'installer'
 
 # States of a host, as reported in heartbeats and the host list.
--- a/apricotpin/helpers/exchange.py
+++ b/apricotpin/helpers/exchange.py
@@ -14,6 +14,7 @@
 CONNECT_TIMEOUT_S: Final = 1.0
 RECEIVE_BYTES: Final = 65536
 
+
 class Verdict(enum.Enum):
     """Say how an attempt ended; the values are the retry reasons."""
 
--- a/apricotpin/helpers/wire.py
+++ b/apricotpin/helpers/wire.py
@@ -8,7 +8,14 @@
 import thriftpy2
 from thriftpy2.utils import deserialize, serialize
 
-from apricotpin.messages import claims, configuration, fleet, hosts, weights
+from apricotpin.messages import (
+    claims,
+    configuration,
+    feeds,
+    fleet,
+    hosts,
+    weights,
+)
 
 
 def _load_idl() -> Any:
@@ -29,7 +36,7 @@
 
 
 def _message_classes() -> types.MappingProxyType[str, type]:
-    modules = (claims, configuration, fleet, hosts, weights)
+    modules = (claims, configuration, feeds, fleet, hosts, weights)
     return types.MappingProxyType(
         {
             name: getattr(module, name)
--- a/apricotpin/messages/feeds.py
+++ b/apricotpin/messages/feeds.py
@@ -35,19 +35,80 @@
         self.wait_s = wait_s
 
 
+class FeedRecord:
+    """Hold an entry as the store has it; no content drops the key."""
+
+    __slots__ = ('content', 'key')
+
+    def __init__(self, key: str, content: bytes) -> None:
+        self.key = key
+        self.content = content
+
+
+class FeedRecords:
+    """Hold records as the store has them, for another entry host.
+
+    fault is the error kind where the store did not answer.
+    """
+
+    __slots__ = ('fault', 'next_offset', 'records')
+
+    def __init__(
+        self,
+        next_offset: int,
+        records: list[FeedRecord],
+        fault: str = '',
+    ) -> None:
+        self.next_offset = next_offset
+        self.records = records
+        self.fault = fault
+
+
+class ReadFeed:
+    """Ask another entry host to read a feed for this one.
+
+    offset is -1 for a snapshot.
+    """
+
+    __slots__ = ('feed', 'offset', 'wait_ms')
+
+    def __init__(self, feed: str, offset: int, wait_ms: int) -> None:
+        self.feed = feed
+        self.offset = offset
+        self.wait_ms = wait_ms
+
+
+class DecodeRecords:
+    """Ask the store service what records that a peer read mean."""
+
+    __slots__ = ('feed', 'records')
+
+    def __init__(self, feed: Feed, records: FeedRecords) -> None:
+        self.feed = feed
+        self.records = records
+
+
 class FeedEntry:
     """Hold one entry: what it means, or None for a key that was dropped.
 
     meaning is a product type: DesiredState, ModelVersion, UpstreamEntry or
-    EntryHost. fault tells why an entry has no meaning though it has content.
+    EntryHost. fault tells why an entry has no meaning though it has content;
+    content is the record as the store has it.
     """
 
-    __slots__ = ('fault', 'key', 'meaning')
+    __slots__ = ('content', 'fault', 'key', 'meaning')
 
-    def __init__(self, key: str, meaning: Any, fault: str = '') -> None:
+    def __init__(
+        self,
+        key: str,
+        meaning: Any,
+        fault: str = '',
+        content: bytes = b'',
+    ) -> None:
         self.key = key
         self.meaning = meaning
         self.fault = fault
+        self.content = content
 
 
 class FeedPage:
--- a/apricotpin/messages/fleet.py
+++ b/apricotpin/messages/fleet.py
@@ -31,6 +31,7 @@
     """
 
     __slots__ = (
+        'config_version',
         'data_centre',
         'group',
         'host_id',
@@ -47,6 +48,7 @@
         targets: list[WeightsTarget],
         turn: int = 0,
         group: int = 0,
+        config_version: int = 0,
     ) -> None:
         self.host_id = host_id
         self.peer_address = peer_address
@@ -54,6 +56,8 @@
         self.targets = targets
         self.turn = turn
         self.group = group
+        # Version of the desired state that the sender has in force.
+        self.config_version = config_version
 
 
 class LoadReport:
@@ -134,6 +138,16 @@
         self.known_for_s = known_for_s
 
 
+class ConfigHeard:
+    """Tell that an entry host has a version of the desired state in force."""
+
+    __slots__ = ('peer_address', 'version')
+
+    def __init__(self, peer_address: str, version: int) -> None:
+        self.peer_address = peer_address
+        self.version = version
+
+
 class EntryHostsChanged:
     """Announce the entry hosts heard of lately, this one included."""
 
--- a/apricotpin/platform/__init__.py
+++ b/apricotpin/platform/__init__.py
@@ -13,7 +13,12 @@
 from apricotpin.errors import Failure
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages.calls import GetCallCodec
-from apricotpin.messages.feeds import ReadChanges, ReadSnapshot, RecordHost
+from apricotpin.messages.feeds import (
+    DecodeRecords,
+    ReadChanges,
+    ReadSnapshot,
+    RecordHost,
+)
 from apricotpin.messages.pieces import (
     FetchManifest,
     FetchPiece,
@@ -37,6 +42,7 @@
             ReadSnapshot: store.read,
             ReadChanges: store.read,
             RecordHost: store.record_host,
+            DecodeRecords: store.decode,
         },
     )
     if settings.role == ROLE_HOST_AGENT:
--- a/apricotpin/platform/documents.py
+++ b/apricotpin/platform/documents.py
@@ -113,9 +113,7 @@
 def _route(fields: dict[str, Any]) -> Route:
     splits = fields.get('traffic_split')
     if splits:
-        parts = tuple(
-            Split(part['service'], part['weight']) for part in splits
-        )
+        parts = tuple(Split(part['service'], part['weight']) for part in splits)
     else:
         parts = (Split(_text(fields['service']), 1),)
     return Route(
--- a/apricotpin/platform/settings_file.py
+++ b/apricotpin/platform/settings_file.py
@@ -61,7 +61,9 @@
     def texts(self, name: str) -> list[str]:
         """Return a list of texts."""
         found = self._document.get(name)
-        if isinstance(found, list) and all(isinstance(one, str) for one in found):
+        if isinstance(found, list) and all(
+            isinstance(one, str) for one in found
+        ):
             return found
         raise self._fault(name, 'a list of texts')
 
--- a/apricotpin/platform/store.py
+++ b/apricotpin/platform/store.py
@@ -10,6 +10,7 @@
 from apricotpin.core import Kernel, Reply
 from apricotpin.errors import Failure
 from apricotpin.messages.feeds import (
+    DecodeRecords,
     Feed,
     FeedEntry,
     FeedPage,
@@ -67,6 +68,15 @@
         """Read a feed in the greenlet that owns its connection."""
         self._queues[message.feed].put(Job(message, reply))
 
+    def decode(self, message: DecodeRecords, reply: Reply) -> None:
+        """Answer what records that a peer read mean."""
+        records = message.records
+        raw = RawPage(
+            [(record.key, record.content) for record in records.records],
+            records.next_offset,
+        )
+        reply.ok(_decode(raw, _DECODERS[message.feed]))
+
     def record_host(self, message: RecordHost, reply: Reply) -> None:
         """Write a record of this system's own."""
         self._queues[Feed.HOSTS].put(Job(message, reply))
@@ -103,7 +113,11 @@
 
 
 def _decode(raw: RawPage, decoder: Decoder) -> FeedPage:
-    entries = [decoder(key, content) for key, content in raw.records]
+    entries = []
+    for key, content in raw.records:
+        entry = decoder(key, content)
+        entry.content = content
+        entries.append(entry)
     return FeedPage(entries, raw.next_offset)
 
 
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -148,6 +148,7 @@
   4: list<WeightsTarget> targets
   5: i32 turn
   6: i32 group
+  7: i64 config_version
 }
 
 struct LoadReport {
@@ -172,7 +173,25 @@
   2: LoadReport load_report
 }
 
+struct FeedRecord {
+  1: string key
+  2: binary content
+}
+
+struct ReadFeed {
+  1: string feed
+  2: i64 offset
+  3: i32 wait_ms
+}
+
+struct FeedRecords {
+  1: i64 next_offset
+  2: list<FeedRecord> records
+  3: string fault
+}
+
 service Peer {
+  FeedRecords read_feed(1: ReadFeed request)
   ChunkAnswer fetch_chunk(1: FetchChunk request)
   WeightsStatus weights_status(1: GetWeightsStatus request)
   HeartbeatAnswer heartbeat(1: Heartbeat request)
