--- a/apricotpin/components/dispatch/service.py
+++ b/apricotpin/components/dispatch/service.py
@@ -4,15 +4,12 @@
 import time
 
 import gevent
-from loguru import logger
 from result import Err, Result
 
-from apricotpin.components.dispatch import const, decisions
+from apricotpin.components.dispatch import connections, const, decisions
 from apricotpin.components.dispatch.state import (
     DispatchState,
-    IdleConnection,
     Upstream,
-    Window,
 )
 from apricotpin.components.dispatch.waiting import (
     ExpireWaiters,
@@ -24,10 +21,9 @@
 from apricotpin.core import Kernel, Reply
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.backoff import jittered_pause
-from apricotpin.helpers.exchange import Verdict, is_quiet
-from apricotpin.helpers.metrics import count_retry
+from apricotpin.helpers.exchange import Verdict
+from apricotpin.helpers.metrics import count, count_retry
 from apricotpin.messages import desired, fleet, upstreams
-from apricotpin.messages.metrics import Count
 
 
 class CloseIdleConnections:
@@ -127,7 +123,7 @@
         reply: Reply,
     ) -> None:
         """Count a request of a caller."""
-        window = self._window(message.service)
+        window = self._state.window(message.service)
         decisions.note_arrival(window, False, time.monotonic())
         reply.ok()
 
@@ -168,7 +164,7 @@
         """Take back an upstream and keep its connection."""
         upstream = self._state.upstreams.get(message.instance_id)
         if upstream is None:
-            _close(message.connection)
+            connections.close(message.connection)
             reply.ok()
             return
         now_s = time.monotonic()
@@ -178,7 +174,7 @@
         if verdict is Verdict.MISDIRECTED:
             # Another worker has the address; the entry is out of date.
             self._forget(message.instance_id)
-        self._keep(upstream, message, now_s)
+        connections.keep(upstream.idle, message, now_s)
         self._serve_waiters()
         reply.ok()
 
@@ -186,11 +182,7 @@
         """Close the connections that may not be used again."""
         now_s = time.monotonic()
         for upstream in self._state.upstreams.values():
-            usable = [one for one in upstream.idle if one.until_s > now_s]
-            for idle in upstream.idle:
-                if idle not in usable:
-                    _close(idle.connection)
-            upstream.idle = usable
+            connections.close_overdue(upstream.idle, now_s)
         reply.ok()
 
     def _pick(
@@ -198,7 +190,7 @@
         message: upstreams.PickUpstream,
     ) -> Result[upstreams.Picked, Failure]:
         now_s = time.monotonic()
-        window = self._window(message.service)
+        window = self._state.window(message.service)
         retries = bool(message.retry_reason)
         if retries and not decisions.may_retry(self._state, window, now_s):
             detail = f'the retries of {message.service} are used up'
@@ -218,40 +210,18 @@
     def _take(self, upstream: Upstream, now_s: float) -> upstreams.Picked:
         load = decisions.load_of(upstream, now_s)
         upstream.own += 1
+        connection = connections.take(upstream.idle, now_s)
+        if connection is None:
+            count(self._kernel, 'upstream_connections_total')
         return upstreams.Picked(
             upstream.entry.instance_id,
             upstream.address,
-            self._take_idle(upstream, now_s),
+            connection,
             0 if upstream.report is None else upstream.report.version,
             load,
             now_s - upstream.reported_s,
         )
 
-    def _take_idle(self, upstream: Upstream, now_s: float) -> object:
-        while upstream.idle:
-            newest = upstream.idle.pop()
-            if newest.until_s > now_s and is_quiet(newest.connection):
-                return newest.connection
-            _close(newest.connection)
-        self._kernel.send('metrics', Count('upstream_connections_total'))
-        return None
-
-    def _keep(
-        self,
-        upstream: Upstream,
-        message: upstreams.AttemptDone,
-        now_s: float,
-    ) -> None:
-        if message.connection is None:
-            return
-        if len(upstream.idle) >= const.IDLE_PER_UPSTREAM:
-            _close(message.connection)
-            return
-        idle_s = const.IDLE_UNNAMED_S
-        if message.idle_s is not None:
-            idle_s = message.idle_s * const.IDLE_USE
-        upstream.idle.append(IdleConnection(message.connection, now_s + idle_s))
-
     def _serve_waiters(self) -> None:
         for waiter in by_urgency(self._waiters):
             outcome = self._pick(waiter.message)
@@ -264,13 +234,4 @@
     def _forget(self, instance_id: str) -> None:
         upstream = self._state.upstreams.pop(instance_id, None)
         if upstream is not None:
-            for idle in upstream.idle:
-                _close(idle.connection)
-
-    def _window(self, service: str) -> Window:
-        return self._state.windows.setdefault(service, Window())
-
-
-def _close(connection: object) -> None:
-    if connection is not None:
-        connection.close()
+            connections.close_overdue(upstream.idle, float('inf'))
--- a/apricotpin/components/dispatch/state.py
+++ b/apricotpin/components/dispatch/state.py
@@ -47,7 +47,7 @@
         self.report: LoadReport | None = None
         self.reported_s = float('-inf')
         self.failures = 0
-        self.failure_score = 0.0
+        self.failure_score: float = 0
         self.rest_until_s = float('-inf')
         self.idle: list[IdleConnection] = []
 
@@ -72,7 +72,7 @@
         'services',
         'targets',
         'upstreams',
-        'windows',
+        '_windows',
     )
 
     def __init__(self, data_centre: str, bounds: Bounds) -> None:
@@ -83,4 +83,8 @@
         # When each declared version of a model became known.
         self.targets: dict[str, dict[int, float]] = {}
         self.upstreams: dict[str, Upstream] = {}
-        self.windows: dict[str, Window] = {}
+        self._windows: dict[str, Window] = {}
+
+    def window(self, service: str) -> Window:
+        """Return the counts of a service."""
+        return self._windows.setdefault(service, Window())
--- a/apricotpin/components/follower/__init__.py
+++ b/apricotpin/components/follower/__init__.py
@@ -9,12 +9,14 @@
     GetPeers,
     GetRecords,
 )
+from apricotpin.components.follower.peers import PeerReads
 from apricotpin.components.follower.reading import follow
 from apricotpin.components.follower.service import FollowerService
 from apricotpin.const import SERVICE_CONFIGURATION
 from apricotpin.core import Kernel, Reply, Started
 from apricotpin.errors import Failure
 from apricotpin.host_settings import HostSettings
+from apricotpin.messages.desired import DesiredStateChanged
 from apricotpin.messages.feeds import Feed, ReadFeed
 from apricotpin.messages.fleet import (
     ConfigHeard,
@@ -26,6 +28,11 @@
 def setup(kernel: Kernel, _settings: HostSettings) -> Result[None, Failure]:
     """Register the follower, which reads once all services are there."""
     service = FollowerService(kernel)
+    peers = PeerReads(kernel)
+
+    def take_read(message: FeedRead, reply: Reply) -> None:
+        peers.remember(message)
+        service.take_read(message, reply)
 
     def start(_message: Started, reply: Reply) -> None:
         for feed in Feed:
@@ -37,13 +44,14 @@
         SERVICE_CONFIGURATION,
         {
             Started: start,
-            FeedRead: service.take_read,
+            FeedRead: take_read,
+            DesiredStateChanged: peers.change_state,
             TargetHeard: service.hear_target,
-            ConfigHeard: service.hear_config,
-            EntryHostsChanged: service.change_hosts,
-            GetPeers: service.peers,
-            GetRecords: service.records,
-            ReadFeed: service.read_feed,
+            ConfigHeard: peers.hear_config,
+            EntryHostsChanged: peers.change_hosts,
+            GetPeers: peers.peers,
+            GetRecords: peers.records,
+            ReadFeed: peers.read_feed,
             CheckLapsed: service.check_lapsed,
         },
     )
--- a/apricotpin/components/follower/decisions.py
+++ b/apricotpin/components/follower/decisions.py
@@ -1,6 +1,8 @@
 """Decide what entries of a feed mean for what this process believes."""
 
 from apricotpin.components.follower.const import LAPSE_S
+from apricotpin.errors import ErrorKind
+from apricotpin.messages.feeds import Feed, FeedPage, FeedRecord, FeedRecords
 from apricotpin.messages.upstreams import UpstreamEntry
 
 
@@ -48,7 +50,7 @@
     if recent and not entry.draining:
         listing.lapsed.setdefault(instance_id, listing.back_s + LAPSE_S)
         return False
-    del listing.known[instance_id]
+    listing.known.pop(instance_id)
     listing.lapsed.pop(instance_id, None)
     return True
 
@@ -57,7 +59,7 @@
     """Remove and return the instances that did not come back in time."""
     overdue = [one for one, due_s in listing.lapsed.items() if due_s <= now_s]
     for instance_id in overdue:
-        del listing.lapsed[instance_id]
+        listing.lapsed.pop(instance_id)
         listing.known.pop(instance_id, None)
     return overdue
 
@@ -65,3 +67,34 @@
 def missing_from(listing: Listing, listed: set[str]) -> list[str]:
     """Return the known instances that a whole snapshot does not hold."""
     return [one for one in listing.known if one not in listed]
+
+
+class Memory:
+    """Hold the records of each feed as they were read last."""
+
+    __slots__ = ('offsets', 'records')
+
+    def __init__(self) -> None:
+        self.records: dict[Feed, dict[str, bytes]] = {}
+        self.offsets: dict[Feed, int] = {}
+
+
+def remember(memory: Memory, feed: Feed, page: FeedPage, whole: bool) -> None:
+    """Take the records of a page; whole holds for a snapshot."""
+    known = {} if whole else memory.records.get(feed, {})
+    for entry in page.entries:
+        if entry.content:
+            known[entry.key] = entry.content
+        else:
+            known.pop(entry.key, None)
+    memory.records[feed] = known
+    memory.offsets[feed] = page.next_offset
+
+
+def recall(memory: Memory, feed: Feed) -> FeedRecords:
+    """Return the records of a feed, or a fault if none were read yet."""
+    known = memory.records.get(feed, {})
+    if not known:
+        return FeedRecords(0, [], ErrorKind.LOG_UNAVAILABLE.value)
+    records = [FeedRecord(key, content) for key, content in known.items()]
+    return FeedRecords(memory.offsets[feed], records)
--- a/apricotpin/components/gateway/application.py
+++ b/apricotpin/components/gateway/application.py
@@ -1,5 +1,6 @@
 """The WSGI application of the callers' listener."""
 
+import contextlib
 import time
 from collections.abc import Callable, Iterator
 from http import HTTPStatus
@@ -186,11 +187,10 @@
         environ: dict[str, Any],
         start_response: StartResponse,
     ) -> Iterator[bytes]:
-        call = Call(kernel, codec, environ[ENVIRON_CALL])
-        try:
+        with contextlib.closing(
+            Call(kernel, codec, environ[ENVIRON_CALL]),
+        ) as call:
             yield from call.run(start_response)
-        finally:
-            call.close()
 
     return application
 
--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -4,7 +4,7 @@
 from typing import Any, Final
 
 from loguru import logger
-from result import Result
+from result import Ok, Result
 
 from apricotpin.components.gateway import const, decisions
 from apricotpin.components.gateway.events import EventSplitter
@@ -130,13 +130,13 @@
         if part.is_err():
             return part
         if not part.ok_value:
-            return part.map(lambda _end: splitter.take_rest())
+            return Ok(splitter.take_rest())
         whole = splitter.take(part.ok_value)
         if whole:
             job.progress.last_event_id = (
                 splitter.last_id or job.progress.last_event_id
             )
-            return part.map(lambda _received: whole)
+            return Ok(whole)
 
 
 def finish(job: Job, attempt: Attempt, verdict: Verdict) -> None:
--- a/apricotpin/components/gateway/callers.py
+++ b/apricotpin/components/gateway/callers.py
@@ -2,8 +2,7 @@
 
 from typing import Any, Final
 
-import gevent
-from gevent import socket
+from gevent import GreenletExit, getcurrent, socket
 from gevent.pywsgi import WSGIHandler
 from result import Err, Ok, Result
 
@@ -29,7 +28,7 @@
 )
 
 
-class CallerGone(gevent.GreenletExit):
+class CallerGone(GreenletExit):
     """End the greenlet of a request whose caller has left."""
 
 
@@ -98,12 +97,14 @@
     def read_requestline(self) -> str:
         """Wait for a request as long as a connection may be idle."""
         self.socket.settimeout(self._limits.idle_s)
-        this = gevent.getcurrent()
+        this = getcurrent()
         self._kernel.send(SERVICE_GATEWAY, ConnectionIdle(this))
         try:
             line = super().read_requestline()
-        finally:
+        except BaseException:
             self._kernel.send(SERVICE_GATEWAY, ConnectionBusy(this))
+            raise
+        self._kernel.send(SERVICE_GATEWAY, ConnectionBusy(this))
         self.socket.settimeout(self._limits.head_s)
         return line
 
@@ -115,8 +116,7 @@
         chunked = names.count('transfer-encoding')
         if lengths > 1 or chunked > 1 or (lengths and chunked):
             raise ValueError('the length of the body is ambiguous')
-        size = sum(len(name) + len(text) for name, text in self.headers.items())
-        if size > self._limits.head_bytes:
+        if len(str(self.headers)) > self._limits.head_bytes:
             raise ValueError('the head is too large')
         return accepted
 
@@ -135,7 +135,7 @@
 
     def handle_error(self, kind: Any, error: Any, trace: Any) -> None:
         """Close the connection of an answer that can't be completed."""
-        if isinstance(error, BrokenAnswer | gevent.GreenletExit):
+        if isinstance(error, BrokenAnswer | GreenletExit):
             self.close_connection = True
             return
         super().handle_error(kind, error, trace)
--- a/apricotpin/components/gateway/decisions.py
+++ b/apricotpin/components/gateway/decisions.py
@@ -1,6 +1,7 @@
 """Decide what follows an attempt and what a caller is told."""
 
 import enum
+from http import HTTPStatus
 
 from apricotpin.components.gateway import const
 from apricotpin.errors import ErrorKind, Failure
@@ -90,7 +91,9 @@
         return Verdict.CROSSED
     if not head.sealed or head.encoded_body:
         return Verdict.TRUNCATED
-    return Verdict.UPSTREAM_ERROR if head.status >= 500 else Verdict.ANSWERED
+    if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        return Verdict.UPSTREAM_ERROR
+    return Verdict.ANSWERED
 
 
 def note_attempt(
--- a/apricotpin/components/gateway/events.py
+++ b/apricotpin/components/gateway/events.py
@@ -27,7 +27,8 @@
         end = 0
         for match in _EVENT_END.finditer(self._held):
             end = match.end()
-        whole, self._held = self._held[:end], self._held[end:]
+        whole = self._held[:end]
+        self._held = self._held[end:]
         identities = _EVENT_ID.findall(whole)
         if identities:
             self.last_id = identities[-1].decode('latin-1').strip()
@@ -35,5 +36,6 @@
 
     def take_rest(self) -> bytes:
         """Return what is left when a stream has ended as complete."""
-        rest, self._held = self._held, b''
+        rest = self._held
+        self._held = b''
         return rest
--- a/apricotpin/components/gateway/serving.py
+++ b/apricotpin/components/gateway/serving.py
@@ -9,8 +9,6 @@
 from result import Err, Ok, Result
 
 from apricotpin.components.gateway import attempts, const, decisions
-from apricotpin.components.gateway.attempts import Attempt, Job
-from apricotpin.components.gateway.decisions import Action
 from apricotpin.const import SERVICE_DISPATCH, SERVICE_ROUTES
 from apricotpin.core import Kernel
 from apricotpin.errors import ErrorKind, Failure
@@ -29,7 +27,7 @@
     head: CallHead,
     body: bytes,
     started_s: float,
-) -> Result[Job, Failure]:
+) -> Result[attempts.Job, Failure]:
     """Find where a request belongs."""
     resolved = kernel.call(
         SERVICE_ROUTES,
@@ -50,10 +48,19 @@
         head.last_event_id,
     )
     kernel.send(SERVICE_DISPATCH, NoteRequest(resolved.ok_value.service))
-    return Ok(Job(kernel, codec, head, resolved.ok_value, body, progress))
+    return Ok(
+        attempts.Job(
+            kernel,
+            codec,
+            head,
+            resolved.ok_value,
+            body,
+            progress,
+        ),
+    )
 
 
-def obtain(job: Job) -> Result[Attempt, Failure]:
+def obtain(job: attempts.Job) -> Result[attempts.Attempt, Failure]:
     """Return the attempt whose answer the caller receives."""
     while True:
         picked = attempts.pick(job)
@@ -65,14 +72,16 @@
             attempt.verdict,
             time.monotonic(),
         )
-        if action is Action.ANSWER:
+        if action is decisions.Action.ANSWER:
             return Ok(attempt)
-        if action is Action.FAIL:
+        if action is decisions.Action.FAIL:
             cause = Failure(ErrorKind.NOT_RUN, attempt.verdict.value)
             return Err(_failure_of(job, cause))
 
 
-def relay_events(job: Job, attempt: Attempt) -> Iterator[bytes]:
+def relay_events(
+    job: attempts.Job, attempt: attempts.Attempt
+) -> Iterator[bytes]:
     """Deliver a stream, going on at another worker where one breaks off."""
     yield attempt.first_part
     while True:
@@ -88,7 +97,7 @@
             return
 
 
-def _resume(job: Job) -> Attempt:
+def _resume(job: attempts.Job) -> attempts.Attempt:
     if not decisions.may_try_again(job.progress, time.monotonic()):
         raise BrokenAnswer('the stream may not be resumed')
     resumed = obtain(job)
@@ -104,11 +113,13 @@
     return resumed.ok_value
 
 
-def _failure_of(job: Job, cause: Failure) -> Failure:
+def _failure_of(job: attempts.Job, cause: Failure) -> Failure:
     return decisions.failure_of(job.progress, cause, time.monotonic())
 
 
-def left_s(job: Job | None, head: CallHead | None, started_s: float) -> float:
+def left_s(
+    job: attempts.Job | None, head: CallHead | None, started_s: float
+) -> float:
     """Return how much of a caller's time is left."""
     now_s = time.monotonic()
     if job is not None:
@@ -119,7 +130,7 @@
 
 
 def log_end(
-    job: Job | None,
+    job: attempts.Job | None,
     head: CallHead | None,
     started_s: float,
     outcome: dict[str, Any],
--- a/apricotpin/components/installer/__init__.py
+++ b/apricotpin/components/installer/__init__.py
@@ -2,7 +2,7 @@
 
 from result import Ok, Result
 
-from apricotpin.components.installer import service, workers
+from apricotpin.components.installer import events, service, workers
 from apricotpin.components.installer.const import FETCHES
 from apricotpin.const import SERVICE_INSTALLER
 from apricotpin.core import Kernel, Reply, Started
@@ -28,11 +28,11 @@
         {
             Started: start,
             EntryHello: installer.hear_entry,
-            service.ReportRead: installer.take_report,
-            service.NextPiece: installer.next_piece,
-            service.PieceFetched: installer.take_piece,
-            service.NextLoad: installer.next_load,
-            service.LoadDone: installer.take_load,
+            events.ReportRead: installer.take_report,
+            events.NextPiece: installer.next_piece,
+            events.PieceFetched: installer.take_piece,
+            events.NextLoad: installer.next_load,
+            events.LoadDone: installer.take_load,
         },
     )
     return Ok(None)
--- a/apricotpin/components/installer/decisions.py
+++ b/apricotpin/components/installer/decisions.py
@@ -6,6 +6,8 @@
 from apricotpin.components.installer import const
 from apricotpin.components.installer.state import Install, Known, WorkerView
 from apricotpin.helpers.hashing import rendezvous_order
+from apricotpin.host_settings import HostSettings
+from apricotpin.messages.fleet import LoadReport
 from apricotpin.messages.pieces import WorkerReport
 
 
@@ -23,7 +25,9 @@
     known = view.report
     view.report = report
     view.misses = 0
-    view.version, view.layers_start, view.layers_end = 0, 0, 0
+    view.version = 0
+    view.layers_start = 0
+    view.layers_end = 0
     for part in report.loaded:
         if part.version >= view.version:
             view.version = part.version
@@ -41,7 +45,7 @@
     """Tell whether the worker holds the whole version, or a later one."""
     if view.report is None or view.version < install.version:
         return False
-    whole = view.layers_start == 0 and view.layers_end >= install.layers
+    whole = view.layers_start == 0 and view.layers_end >= install.stock.layers
     return whole or view.version > install.version
 
 
@@ -65,8 +69,8 @@
         return False
     if install.group > 0:
         return True
-    held = len(install.pieces)
-    return held < const.ALMOST_HERE_SHARE * max(1, len(install.digests))
+    held = len(install.stock.pieces)
+    return held < const.ALMOST_HERE_SHARE * max(1, len(install.stock.digests))
 
 
 def next_index(install: Install, is_there: bool) -> int | None:
@@ -74,16 +78,19 @@
 
     is_there tells whether the worker answers.
     """
-    if not install.digests:
+    if not install.stock.digests:
         wanted = const.MANIFEST_INDEX
-        return None if wanted in install.fetching else wanted
-    if not install.scanned and is_there:
+        return None if wanted in install.stock.fetching else wanted
+    if not install.stock.scanned and is_there:
         # What is staged already needs no transfer.
         return None
-    for index in range(len(install.digests)):
-        if index not in install.pieces and index not in install.fetching:
-            return index
-    return None
+    taken = install.stock.fetching.union(install.stock.pieces)
+    missing = (
+        index
+        for index, _ in enumerate(install.stock.digests)
+        if index not in taken
+    )
+    return next(missing, None)
 
 
 def order_entries(
@@ -109,8 +116,9 @@
 
 def is_stalled(install: Install, now_s: float) -> bool:
     """Tell whether nothing of a version has come for some time."""
-    complete = install.digests and len(install.pieces) == len(install.digests)
-    return not complete and now_s - install.progress_s > const.STALL_S
+    if install.stock.is_complete:
+        return False
+    return now_s - install.stock.progress_s > const.STALL_S
 
 
 def best_parked(
@@ -125,7 +133,7 @@
     newer = [
         version
         for version, one in parked.items()
-        if view.version < version < install.version and one.digests
+        if view.version < version < install.version and one.stock.digests
     ]
     return parked[max(newer)] if newer else None
 
@@ -134,30 +142,29 @@
     """Tell whether content is the piece that the manifest names."""
     if content is None:
         return False
-    return hashlib.sha256(content).hexdigest() == install.digests[index]
+    return hashlib.sha256(content).hexdigest() == install.stock.digests[index]
 
 
 def next_load(install: Install, view: WorkerView, now_s: float) -> Load:
     """Return what the loader does next."""
-    if not install.digests or not is_reachable(view):
+    if not install.stock.digests or not is_reachable(view):
         return Load.WAIT
     if is_installed(view, install):
         return Load.WAIT
-    if not install.scanned:
+    if not install.stock.scanned:
         return Load.SCAN
     if install.ordered_s is not None:
         return _after_order(install, view, now_s)
-    if set(install.pieces) - install.staged:
+    if set(install.stock.pieces) - install.stock.staged:
         return Load.STAGE
-    complete = len(install.pieces) == len(install.digests)
-    if complete and may_switch(install, view, now_s):
+    if install.stock.is_complete and may_switch(install, view, now_s):
         return Load.START
     return Load.WAIT
 
 
 def may_switch(install: Install, view: WorkerView, now_s: float) -> bool:
     """Tell whether the worker may stop serving what it holds."""
-    serves_nothing = view.version == 0 or view.layers_end < install.layers
+    serves_nothing = view.version == 0 or view.layers_end < install.stock.layers
     if serves_nothing or install.turn == 0:
         return True
     return now_s >= install.switch_by_s
@@ -169,19 +176,19 @@
         return False
     if install.ordered_s is not None:
         return True
-    if not install.digests or not may_switch(install, view, now_s):
+    if not install.stock.digests or not may_switch(install, view, now_s):
         return False
     return left_s(install, now_s) < const.DRAIN_AHEAD_S
 
 
 def left_s(install: Install, now_s: float) -> float:
     """Estimate the time until all pieces are here."""
-    missing = len(install.digests) - len(install.pieces)
+    missing = len(install.stock.digests) - len(install.stock.pieces)
     if not missing:
         return 0
-    if not install.pieces:
+    if not install.stock.pieces:
         return float('inf')
-    return (now_s - install.begun_s) / len(install.pieces) * missing
+    return (now_s - install.stock.begun_s) / len(install.stock.pieces) * missing
 
 
 def _after_order(install: Install, view: WorkerView, now_s: float) -> Load:
@@ -190,3 +197,28 @@
     if overdue and not busy:
         return Load.START
     return Load.WAIT
+
+
+def report_of(
+    settings: HostSettings,
+    view: WorkerView,
+    install: Install | None,
+    now_s: float,
+) -> LoadReport:
+    """Return what entry hosts are told of the worker."""
+    report = view.report
+    return LoadReport(
+        address=settings.upstream_address,
+        peer_address=settings.peer_address,
+        data_centre=settings.data_centre,
+        service_name=settings.service,
+        count=0,
+        reachable=is_reachable(view),
+        started_ms=0 if report is None else report.started_ms,
+        active=0 if report is None else report.active,
+        queued=0 if report is None else report.queued,
+        version=view.version,
+        layers_start=view.layers_start,
+        layers_end=view.layers_end,
+        switching=install is not None and is_switching(install, view, now_s),
+    )
--- /dev/null
+++ b/apricotpin/components/installer/events.py
@@ -0,0 +1,100 @@
+"""Messages between the installer and its greenlets."""
+
+from result import Result
+
+from apricotpin.components.installer.decisions import Load
+from apricotpin.components.installer.state import Install
+from apricotpin.errors import Failure
+from apricotpin.messages.pieces import WorkerReport
+
+
+class ReportRead:
+    """Carry a report of the worker, or why there is none."""
+
+    __slots__ = ('report',)
+
+    def __init__(self, report: Result[WorkerReport, Failure]) -> None:
+        self.report = report
+
+
+class NextPiece:
+    """Ask what to fetch and from where; answered when there is something."""
+
+    __slots__ = ()
+
+
+class PieceOrder:
+    """Name a piece and the entry hosts to ask, best first."""
+
+    __slots__ = ('addresses', 'index', 'install')
+
+    def __init__(
+        self,
+        install: Install,
+        index: int,
+        addresses: list[str],
+    ) -> None:
+        self.install = install
+        self.index = index
+        self.addresses = addresses
+
+
+class PieceFetched:
+    """Carry a fetched piece, or None if the entry host has none for us."""
+
+    __slots__ = ('address', 'content', 'order')
+
+    def __init__(
+        self,
+        order: PieceOrder,
+        address: str,
+        content: bytes | None,
+    ) -> None:
+        self.order = order
+        self.address = address
+        self.content = content
+
+
+class NextLoad:
+    """Ask what to do at the worker; answered when there is something."""
+
+    __slots__ = ()
+
+
+class LoadOrder:
+    """Name a step at the worker; pieces holds content by index."""
+
+    __slots__ = ('action', 'digests', 'install', 'pieces')
+
+    def __init__(
+        self,
+        action: Load,
+        install: Install,
+        pieces: dict[int, bytes],
+    ) -> None:
+        self.action = action
+        self.install = install
+        self.digests = tuple(install.stock.digests)
+        self.pieces = pieces
+
+
+class LoadDone:
+    """Carry what a step at the worker achieved."""
+
+    __slots__ = ('done', 'order', 'pieces')
+
+    def __init__(
+        self,
+        order: LoadOrder,
+        done: bool,
+        pieces: dict[int, bytes],
+    ) -> None:
+        self.order = order
+        self.done = done
+        self.pieces = pieces
+
+
+class Tick:
+    """Look whether something that waited may go on."""
+
+    __slots__ = ()
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -4,14 +4,20 @@
 import time
 
 from loguru import logger
-from result import Result
 
 from apricotpin.components.installer import const, decisions
-from apricotpin.components.installer.decisions import Load
+from apricotpin.components.installer.events import (
+    LoadDone,
+    LoadOrder,
+    NextLoad,
+    NextPiece,
+    PieceFetched,
+    PieceOrder,
+    ReportRead,
+)
 from apricotpin.components.installer.state import Install, Known, WorkerView
 from apricotpin.const import SERVICE_PRESENCE
 from apricotpin.core import Kernel, Reply
-from apricotpin.errors import Failure
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages.fleet import (
     AnnounceLoad,
@@ -22,98 +28,6 @@
 from apricotpin.messages.pieces import WorkerReport
 
 
-class ReportRead:
-    """Carry a report of the worker, or why there is none."""
-
-    __slots__ = ('report',)
-
-    def __init__(self, report: Result[WorkerReport, Failure]) -> None:
-        self.report = report
-
-
-class NextPiece:
-    """Ask what to fetch and from where; answered when there is something."""
-
-    __slots__ = ()
-
-
-class PieceOrder:
-    """Name a piece and the entry hosts to ask, best first."""
-
-    __slots__ = ('addresses', 'index', 'install')
-
-    def __init__(
-        self,
-        install: Install,
-        index: int,
-        addresses: list[str],
-    ) -> None:
-        self.install = install
-        self.index = index
-        self.addresses = addresses
-
-
-class PieceFetched:
-    """Carry a fetched piece, or None if the entry host has none for us."""
-
-    __slots__ = ('address', 'content', 'order')
-
-    def __init__(
-        self,
-        order: PieceOrder,
-        address: str,
-        content: bytes | None,
-    ) -> None:
-        self.order = order
-        self.address = address
-        self.content = content
-
-
-class NextLoad:
-    """Ask what to do at the worker; answered when there is something."""
-
-    __slots__ = ()
-
-
-class LoadOrder:
-    """Name a step at the worker; pieces holds content by index."""
-
-    __slots__ = ('action', 'digests', 'install', 'pieces')
-
-    def __init__(
-        self,
-        action: Load,
-        install: Install,
-        pieces: dict[int, bytes],
-    ) -> None:
-        self.action = action
-        self.install = install
-        self.digests = tuple(install.digests)
-        self.pieces = pieces
-
-
-class LoadDone:
-    """Carry what a step at the worker achieved."""
-
-    __slots__ = ('done', 'order', 'pieces')
-
-    def __init__(
-        self,
-        order: LoadOrder,
-        done: bool,
-        pieces: dict[int, bytes],
-    ) -> None:
-        self.order = order
-        self.done = done
-        self.pieces = pieces
-
-
-class Tick:
-    """Look whether something that waited may go on."""
-
-    __slots__ = ()
-
-
 class InstallerService:
     """Own the version to install and the state of the worker."""
 
@@ -178,16 +92,16 @@
     def take_piece(self, message: PieceFetched, reply: Reply) -> None:
         """Keep a piece that is sound."""
         install, index = message.order.install, message.order.index
-        install.fetching.discard(index)
+        install.stock.fetching.discard(index)
         reply.ok()
         if message.content is None:
             self._suspect(message.address)
         elif index == const.MANIFEST_INDEX:
             self._take_manifest(install, message.content)
         elif decisions.is_sound(install, index, message.content):
-            install.pieces[index] = message.content
-            install.progress_s = time.monotonic()
-            self._log_if_complete(install)
+            install.stock.pieces[index] = message.content
+            install.stock.progress_s = time.monotonic()
+            _log_if_complete(install)
         else:
             logger.bind(index=index, source=message.address).warning(
                 'piece_corrupt',
@@ -203,43 +117,27 @@
         """Note what a step at the worker achieved."""
         install = message.order.install
         action = message.order.action
-        if action is Load.SCAN:
-            install.scanned = message.done
-            install.begun_s = time.monotonic()
-            install.pieces.update(message.pieces)
-            install.staged.update(message.pieces)
-            self._log_if_complete(install)
-        elif action is Load.STAGE and message.done:
-            install.staged.update(message.pieces)
-        elif action is Load.START and message.done:
+        if action is decisions.Load.SCAN:
+            install.stock.scanned = message.done
+            install.stock.begun_s = time.monotonic()
+            install.stock.pieces.update(message.pieces)
+            install.stock.staged.update(message.pieces)
+            _log_if_complete(install)
+        elif action is decisions.Load.STAGE and message.done:
+            install.stock.staged.update(message.pieces)
+        elif action is decisions.Load.START and message.done:
             install.ordered_s = time.monotonic()
         reply.ok()
         self._go_on()
 
     def own_report(self) -> LoadReport:
         """Return what entry hosts are told of the worker."""
-        view, install = self._view, self._install
-        report = view.report
-        switching = install is not None and decisions.is_switching(
-            install,
-            view,
+        return decisions.report_of(
+            self._settings,
+            self._view,
+            self._install,
             time.monotonic(),
         )
-        return LoadReport(
-            address=self._settings.upstream_address,
-            peer_address=self._settings.peer_address,
-            data_centre=self._settings.data_centre,
-            service_name=self._settings.service,
-            count=0,
-            reachable=decisions.is_reachable(view),
-            started_ms=0 if report is None else report.started_ms,
-            active=0 if report is None else report.active,
-            queued=0 if report is None else report.queued,
-            version=view.version,
-            layers_start=view.layers_start,
-            layers_end=view.layers_end,
-            switching=switching,
-        )
 
     def _take_target(
         self,
@@ -278,7 +176,7 @@
             now_s,
             switch_by_s,
         )
-        install.progress_s = now_s
+        install.stock.progress_s = now_s
         self._install = install
         logger.bind(
             model=target.model,
@@ -304,7 +202,7 @@
         logger.bind(
             version=older.version,
             instead_of=install.version,
-            pieces=len(older.pieces),
+            pieces=len(older.stock.pieces),
         ).info('version_fallback')
         self._parked[install.version] = install
         self._install = self._parked.pop(older.version)
@@ -315,7 +213,7 @@
         view, install = self._view, self._install
         was_there = decisions.is_reachable(view)
         before = (view.version, view.layers_end)
-        layers = 0 if install is None else install.layers
+        layers = 0 if install is None else install.stock.layers
         restarted = decisions.view_report(view, report, layers)
         if not was_there:
             logger.bind(dependency='worker').info('dependency_regained')
@@ -330,32 +228,23 @@
         if restarted:
             # What is staged may be gone with the worker.
             install.ordered_s = None
-            install.staged.clear()
-            install.scanned = bool(install.pieces)
-        if decisions.is_installed(view, install) and install.pieces:
+            install.stock.staged.clear()
+            install.stock.scanned = bool(install.stock.pieces)
+        if decisions.is_installed(view, install) and install.stock.pieces:
             # The staged copy is read again if the worker starts anew.
-            install.pieces.clear()
-            install.staged.clear()
-            install.scanned = False
+            install.stock.pieces.clear()
+            install.stock.staged.clear()
+            install.stock.scanned = False
             install.ordered_s = None
 
     def _take_manifest(self, install: Install, content: bytes) -> None:
         try:
             document = json.loads(content)
-            install.layers = int(document['layers'])
-            install.digests = [str(one) for one in document['digests']]
+            install.stock.layers = int(document['layers'])
+            install.stock.digests = [str(one) for one in document['digests']]
         except (ValueError, KeyError, TypeError) as error:
             logger.bind(error=repr(error)).warning('manifest_unreadable')
 
-    def _log_if_complete(self, install: Install) -> None:
-        if len(install.pieces) == len(install.digests):
-            logger.bind(
-                model=install.model,
-                version=install.version,
-                turn=install.turn,
-                took_ms=int((time.monotonic() - install.begun_s) * 1000),
-            ).info('pieces_complete')
-
     def _suspect(self, address: str) -> None:
         until_s = time.monotonic() + const.SUSPECT_S
         for known in self._entries.values():
@@ -371,13 +260,13 @@
         self._feed_fetchers(install, now_s)
         if self._loaders:
             action = decisions.next_load(install, self._view, now_s)
-            if action is not Load.WAIT:
+            if action is not decisions.Load.WAIT:
                 loader = self._loaders.pop()
-                loader.ok(self._load_order(install, action))
+                loader.ok(_load_order(install, action))
 
     def _feed_fetchers(self, install: Install, now_s: float) -> None:
         view = self._view
-        if decisions.is_installed(view, install) and install.digests:
+        if decisions.is_installed(view, install) and install.stock.digests:
             return
         while self._fetchers:
             index = decisions.next_index(
@@ -394,18 +283,29 @@
             )
             if not addresses:
                 return
-            install.fetching.add(index)
+            install.stock.fetching.add(index)
             order = PieceOrder(install, index, addresses)
             self._fetchers.pop().ok(order)
 
-    def _load_order(self, install: Install, action: Load) -> LoadOrder:
-        pieces: dict[int, bytes] = {}
-        if action is Load.STAGE:
-            pieces = {
-                index: content
-                for index, content in install.pieces.items()
-                if index not in install.staged
-            }
-        elif action is Load.START:
-            pieces = dict(install.pieces)
-        return LoadOrder(action, install, pieces)
+
+def _log_if_complete(install: Install) -> None:
+    if install.stock.is_complete:
+        logger.bind(
+            model=install.model,
+            version=install.version,
+            turn=install.turn,
+            took_ms=int((time.monotonic() - install.stock.begun_s) * 1000),
+        ).info('pieces_complete')
+
+
+def _load_order(install: Install, action: decisions.Load) -> LoadOrder:
+    pieces: dict[int, bytes] = {}
+    if action is decisions.Load.STAGE:
+        pieces = {
+            index: content
+            for index, content in install.stock.pieces.items()
+            if index not in install.stock.staged
+        }
+    elif action is decisions.Load.START:
+        pieces = dict(install.stock.pieces)
+    return LoadOrder(action, install, pieces)
--- a/apricotpin/components/installer/state.py
+++ b/apricotpin/components/installer/state.py
@@ -4,29 +4,54 @@
 from apricotpin.messages.pieces import WorkerReport
 
 
-class Install:
-    """Hold the progress of one version; times are of the monotonic clock.
+class PieceStock:
+    """Hold the pieces of one version; times are of the monotonic clock.
 
-    switch_by_s is when the worker waits for no other any more; turn counts
-    the workers that switch first and group is 0 for those; pieces holds
-    checked content; scanned holds once the worker's staged pieces were looked
-    through; progress_s is when the last piece came;
-    finish_first holds for a version that stands in for a newer one.
+    pieces holds checked content; scanned holds once the worker's staged
+    pieces were looked through; progress_s is when the last piece came.
     """
 
     __slots__ = (
         'begun_s',
         'digests',
         'fetching',
-        'finish_first',
-        'group',
         'layers',
-        'model',
-        'ordered_s',
         'pieces',
         'progress_s',
         'scanned',
         'staged',
+    )
+
+    def __init__(self, begun_s: float) -> None:
+        self.begun_s = begun_s
+        self.progress_s = begun_s
+        self.layers = 0
+        self.digests: list[str] = []
+        self.pieces: dict[int, bytes] = {}
+        self.fetching: set[int] = set()
+        self.staged: set[int] = set()
+        self.scanned = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every piece is here."""
+        return bool(self.digests) and len(self.pieces) == len(self.digests)
+
+
+class Install:
+    """Hold the progress of one version; times are of the monotonic clock.
+
+    switch_by_s is when the worker waits for no other any more; turn counts
+    the workers that switch first and group is 0 for those; finish_first holds
+    for a version that stands in for a newer one that does not come.
+    """
+
+    __slots__ = (
+        'finish_first',
+        'group',
+        'model',
+        'ordered_s',
+        'stock',
         'switch_by_s',
         'turn',
         'version',
@@ -41,23 +66,16 @@
     ) -> None:
         self.model = model
         self.version = version
-        self.begun_s = begun_s
-        self.progress_s = begun_s
         self.switch_by_s = switch_by_s
+        self.turn = 0
         self.group = 0
         self.finish_first = False
-        self.turn = 0
-        self.layers = 0
-        self.digests: list[str] = []
-        self.pieces: dict[int, bytes] = {}
-        self.fetching: set[int] = set()
-        self.staged: set[int] = set()
-        self.scanned = False
         self.ordered_s: float | None = None
+        self.stock = PieceStock(begun_s)
 
 
 class WorkerView:
-    """Hold the last report of the worker; version is 0 unless it is whole."""
+    """Hold the last report of the worker, and the layers it named last."""
 
     __slots__ = ('layers_end', 'layers_start', 'misses', 'report', 'version')
 
--- a/apricotpin/components/installer/workers.py
+++ b/apricotpin/components/installer/workers.py
@@ -1,14 +1,16 @@
 """Greenlets that fetch pieces and use the worker beside this process."""
 
 import hashlib
+import types
 from collections.abc import Callable
+from typing import Final
 
 import gevent
 from loguru import logger
 
 from apricotpin.components.installer import const
 from apricotpin.components.installer.decisions import Load
-from apricotpin.components.installer.service import (
+from apricotpin.components.installer.events import (
     LoadDone,
     LoadOrder,
     NextLoad,
@@ -180,7 +182,7 @@
     install = order.install
     started = kernel.call(
         SERVICE_ENGINE,
-        StartVersion(install.model, install.version, 0, install.layers),
+        StartVersion(install.model, install.version, 0, install.stock.layers),
         const.CALL_TIMEOUT_S,
     )
     bound = logger.bind(
@@ -201,4 +203,6 @@
     return hashlib.sha256(content).hexdigest() == digest
 
 
-_ACTIONS = {Load.SCAN: _scan, Load.STAGE: _stage, Load.START: _start}
+_ACTIONS: Final = types.MappingProxyType(
+    {Load.SCAN: _scan, Load.STAGE: _stage, Load.START: _start}
+)
--- a/apricotpin/components/presence/__init__.py
+++ b/apricotpin/components/presence/__init__.py
@@ -80,4 +80,4 @@
 
 def _leave(kernel: Kernel, host: object) -> None:
     """Drop this host's record, if the store takes that in time."""
-    kernel.call(SERVICE_STORE, RecordHost(host, listed=False), 0.3)
+    kernel.call(SERVICE_STORE, RecordHost(host, listed=False), const.LEAVE_S)
--- a/apricotpin/components/presence/const.py
+++ b/apricotpin/components/presence/const.py
@@ -11,11 +11,11 @@
 AGENT_SILENT_S: Final = 2.5
 # Of the reports, one in this many goes to another data centre.
 FAR_REPORT_EVERY: Final = 4
-# An agent asks the store for entry hosts until one greets it.
-FIND_ENTRIES_S: Final = 0.7
 STORE_TIMEOUT_S: Final = 3.0
 # A record of this host is written again until it succeeds.
 RECORD_RETRY_S: Final = 0.5
+# A stop does not wait longer for the store to drop this host's record.
+LEAVE_S: Final = 0.3
 DATAGRAM_MAX_BYTES: Final = 8192
 # Workers of one service and data centre switch versions in so many groups.
 SWITCH_GROUPS: Final = 2
--- a/apricotpin/components/presence/decisions.py
+++ b/apricotpin/components/presence/decisions.py
@@ -26,7 +26,7 @@
         name for name, one in seen.items() if now_s - one.heard_s > longest_s
     ]
     for name in silent:
-        del seen[name]
+        seen.pop(name)
     return silent
 
 
--- a/apricotpin/components/presence/service.py
+++ b/apricotpin/components/presence/service.py
@@ -3,12 +3,10 @@
 import time
 from typing import Any, Final
 
-import gevent
-from gevent import socket
+from gevent import sleep, socket
 from loguru import logger
 
 from apricotpin.components.presence import const, decisions
-from apricotpin.components.presence.decisions import Seen
 from apricotpin.const import (
     SERVICE_CONFIGURATION,
     SERVICE_PRESENCE,
@@ -19,7 +17,7 @@
 from apricotpin.helpers.wire import decode_datagram, encode_datagram
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages import desired, fleet, upstreams
-from apricotpin.messages.feeds import EntryHost, Feed, ReadSnapshot, RecordHost
+from apricotpin.messages.feeds import EntryHost, RecordHost
 
 # Versions are counted from one, and the first is never declared.
 _UNDECLARED: Final = (1, None)
@@ -66,8 +64,8 @@
         self._kernel = kernel
         self._socket = endpoint
         self._own = own_host(settings)
-        self._agents: dict[str, Seen] = {}
-        self._entries: dict[str, Seen] = {}
+        self._agents: dict[str, decisions.Seen] = {}
+        self._entries: dict[str, decisions.Seen] = {}
         # Entry hosts by their records, and agents by the entries of workers.
         self._recorded: dict[str, EntryHost] = {}
         self._listed: dict[str, upstreams.UpstreamEntry] = {}
@@ -166,7 +164,7 @@
 
     def _hear_entry(self, hello: fleet.EntryHello) -> None:
         known = self._entries.get(hello.host_id)
-        self._entries[hello.host_id] = Seen(hello, time.monotonic())
+        self._entries[hello.host_id] = decisions.Seen(hello, time.monotonic())
         if known is None:
             logger.bind(entry_host=hello.host_id).info('entry_host_heard')
             self._announce_entries()
@@ -191,7 +189,9 @@
         known = self._agents.get(report.peer_address)
         if not decisions.is_newer(known, report):
             return
-        self._agents[report.peer_address] = Seen(report, time.monotonic())
+        self._agents[report.peer_address] = decisions.Seen(
+            report, time.monotonic()
+        )
         self._kernel.publish(report)
         if known is None:
             logger.bind(agent=report.peer_address).info('agent_heard')
@@ -294,7 +294,7 @@
         self._kernel = kernel
         self._settings = settings
         self._socket = endpoint
-        self._entries: dict[str, Seen] = {}
+        self._entries: dict[str, decisions.Seen] = {}
         self._count = 0
 
     def receive(self, message: Received, reply: Reply) -> None:
@@ -303,7 +303,9 @@
         if isinstance(hello, fleet.EntryHello):
             if hello.host_id not in self._entries:
                 logger.bind(entry_host=hello.host_id).info('entry_host_heard')
-            self._entries[hello.host_id] = Seen(hello, time.monotonic())
+            self._entries[hello.host_id] = decisions.Seen(
+                hello, time.monotonic()
+            )
             self._kernel.publish(hello)
         reply.ok()
 
@@ -387,20 +389,7 @@
         )
         if written.is_ok():
             return
-        gevent.sleep(const.RECORD_RETRY_S)
-
-
-def read_entries(kernel: Kernel) -> tuple[EntryHost, ...]:
-    """Return the recorded entry hosts, none if the store does not answer."""
-    read = kernel.call(
-        SERVICE_STORE,
-        ReadSnapshot(Feed.HOSTS),
-        const.STORE_TIMEOUT_S,
-    )
-    if read.is_err():
-        return ()
-    found = [entry.meaning for entry in read.ok_value.entries]
-    return tuple(host for host in found if isinstance(host, EntryHost))
+        sleep(const.RECORD_RETRY_S)
 
 
 def _seconds(known_for_ms: int) -> float:
--- a/apricotpin/components/relay/service.py
+++ b/apricotpin/components/relay/service.py
@@ -4,7 +4,6 @@
 import json
 import time
 from collections import deque
-from typing import Any
 
 import gevent
 from loguru import logger
@@ -50,13 +49,14 @@
 
 
 class Fetch:
-    """Name what a worker fetches, and from whom, best first."""
+    """Name what a worker fetches, from whom, and where the origin is."""
 
-    __slots__ = ('index', 'sources')
+    __slots__ = ('index', 'origin', 'source')
 
-    def __init__(self, index: int, sources: list[str]) -> None:
+    def __init__(self, index: int, source: str, origin: str) -> None:
         self.index = index
-        self.sources = sources
+        self.source = source
+        self.origin = origin
 
 
 class Holding:
@@ -172,7 +172,7 @@
             holding.idle_workers.append(reply)
             return
         index = holding.wanted.popleft()
-        reply.ok(Fetch(index, self._sources(holding)))
+        reply.ok(self._fetch(holding, index))
 
     def take_fetched(self, message: Fetched, reply: Reply) -> None:
         """Keep a checked piece and pass it on to those who wait."""
@@ -203,7 +203,7 @@
 
     def _take_manifest(self, holding: Holding, content: bytes) -> None:
         holding.digests = json.loads(content)['digests']
-        for index in range(len(holding.digests)):
+        for index, _ in enumerate(holding.digests):
             if index not in holding.content:
                 self._want(holding, index)
 
@@ -223,10 +223,13 @@
     def _want(self, holding: Holding, index: int) -> None:
         if holding.idle_workers:
             worker = holding.idle_workers.pop()
-            worker.ok(Fetch(index, self._sources(holding)))
+            worker.ok(self._fetch(holding, index))
         else:
             holding.wanted.append(index)
 
+    def _fetch(self, holding: Holding, index: int) -> Fetch:
+        return Fetch(index, self._sources(holding)[0], self._origin)
+
     def _sources(self, holding: Holding) -> list[str]:
         now_s = time.monotonic()
         key = _key(holding.model, holding.version)
@@ -253,13 +256,10 @@
         holding = Holding(model, version)
         self._holdings[(model, version)] = holding
         for _ in range(const.FETCHES):
-            self._kernel.spawn(
-                _work,
-                self._kernel,
-                holding,
-                lambda: self._origin,
-            )
-        versions = sorted(v for name, v in self._holdings if name == model)
+            self._kernel.spawn(_work, self._kernel, holding)
+        versions = sorted(
+            number for name, number in self._holdings if name == model
+        )
         for old in versions[: -const.VERSIONS_KEPT]:
             dropped = self._holdings.pop((model, old))
             for worker in dropped.idle_workers:
@@ -268,16 +268,16 @@
         return holding
 
 
-def _work(kernel: Kernel, holding: Holding, origin_of: Any) -> None:
+def _work(kernel: Kernel, holding: Holding) -> None:
     client = PeerClient()
     while True:
         asked = kernel.call(SERVICE_WEIGHTS, NextFetch(holding), const.IDLE_S)
         if asked.is_err():
             return
         fetch = asked.ok_value
-        source = fetch.sources[0]
+        source = fetch.source
         if source == const.ORIGIN:
-            content = _from_origin(kernel, holding, fetch.index, origin_of())
+            content = _from_origin(kernel, holding, fetch.index, fetch.origin)
         else:
             content = _from_peer(client, holding, fetch.index, source)
         kernel.send(
--- a/apricotpin/components/routes/decisions.py
+++ b/apricotpin/components/routes/decisions.py
@@ -28,10 +28,13 @@
 def build_table(state: DesiredState) -> RouteTable:
     """Arrange a desired state for look-ups."""
     by_host: dict[str, list[Route]] = {}
-    for route in state.routes:
+    longest_first = sorted(
+        state.routes,
+        key=lambda route: len(route.path_prefix),
+        reverse=True,
+    )
+    for route in longest_first:
         by_host.setdefault(route.host.lower(), []).append(route)
-    for routes in by_host.values():
-        routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
     tenants = {
         key: tenant for tenant in state.tenants or () for key in tenant.api_keys
     }
@@ -77,13 +80,13 @@
 
 def choose_service(route: Route, split_point: float) -> str:
     """Return the service at a point from 0 to 1 of the route's weights."""
-    total = sum(split.weight for split in route.splits)
+    total = sum(part.weight for part in route.splits)
     reached = split_point * total
     for split in route.splits:
         reached -= split.weight
         if reached < 0:
             return split.service
-    return max(route.splits, key=lambda split: split.weight).service
+    return max(route.splits, key=lambda part: part.weight).service
 
 
 def _has_port(host: str) -> bool:
--- a/apricotpin/helpers/wire.py
+++ b/apricotpin/helpers/wire.py
@@ -1,7 +1,9 @@
 """Conversion between message classes and thrift structs of the same name."""
 
 import io
+import struct
 import types
+import zlib
 from importlib import resources
 from typing import Any, Final
 
@@ -57,26 +59,27 @@
     name = type(message).__name__
     if name not in _MESSAGE_CLASSES:
         return message
-    struct = getattr(PEER_IDL, name)()
+    wired = getattr(PEER_IDL, name)()
     for field in message.__slots__:
-        setattr(struct, field, to_wire(getattr(message, field)))
-    return struct
+        setattr(wired, field, to_wire(getattr(message, field)))
+    return wired
 
 
-def from_wire(struct: Any) -> Any:
+def from_wire(wired: Any) -> Any:
     """Return the message for a thrift struct, list or plain value."""
-    if isinstance(struct, list):
-        return [from_wire(entry) for entry in struct]
-    message_class = _MESSAGE_CLASSES.get(type(struct).__name__)
+    if isinstance(wired, list):
+        return [from_wire(entry) for entry in wired]
+    message_class = _MESSAGE_CLASSES.get(type(wired).__name__)
     if message_class is None:
-        return struct
+        return wired
     fields = {
-        field: from_wire(getattr(struct, field))
+        field: from_wire(getattr(wired, field))
         for field in message_class.__slots__
     }
     return message_class(**fields)
 
 
+_CHECKSUM: Final = struct.Struct('>I')
 _DATAGRAM_FIELDS: Final = types.MappingProxyType(
     {fleet.EntryHello: 'entry_hello', fleet.LoadReport: 'load_report'}
 )
@@ -85,19 +88,26 @@
 def encode_datagram(message: Any) -> bytes:
     """Encode a message that travels alone in a datagram."""
     field = _DATAGRAM_FIELDS[type(message)]
-    datagram = PEER_IDL.Datagram(**{field: to_wire(message)})
-    return serialize(datagram)
+    content = serialize(PEER_IDL.Datagram(**{field: to_wire(message)}))
+    return _CHECKSUM.pack(zlib.crc32(content)) + content
 
 
 def decode_datagram(received: bytes) -> Any:
-    """Decode a datagram; return None if it holds no message."""
+    """Decode a datagram; return None if it holds no message.
+
+    The checksum comes first, since the decoder believes any length that
+    foreign bytes name and would work on it for minutes.
+    """
+    content = received[_CHECKSUM.size :]
+    if received[: _CHECKSUM.size] != _CHECKSUM.pack(zlib.crc32(content)):
+        return None
     try:
-        datagram = deserialize(PEER_IDL.Datagram(), received)
+        datagram = deserialize(PEER_IDL.Datagram(), content)
     except Exception:
         # thriftpy2 raises several unrelated types for malformed input.
         return None
     for field in _DATAGRAM_FIELDS.values():
-        struct = getattr(datagram, field)
-        if struct is not None:
-            return from_wire(struct)
+        told = getattr(datagram, field)
+        if told is not None:
+            return from_wire(told)
     return None
--- a/apricotpin/platform/settings_file.py
+++ b/apricotpin/platform/settings_file.py
@@ -58,15 +58,6 @@
         """Return the fields of a mapping inside this one."""
         return Fields(self._document.get(name), self._join(name))
 
-    def texts(self, name: str) -> list[str]:
-        """Return a list of texts."""
-        found = self._document.get(name)
-        if isinstance(found, list) and all(
-            isinstance(one, str) for one in found
-        ):
-            return found
-        raise self._fault(name, 'a list of texts')
-
     def first_port(self, name: str) -> int:
         """Return the first of a list of ports."""
         found = self._document.get(name)
--- a/apricotpin/platform/store.py
+++ b/apricotpin/platform/store.py
@@ -18,7 +18,7 @@
     ReadSnapshot,
     RecordHost,
 )
-from apricotpin.platform import documents, names
+from apricotpin.platform import names, operator_documents, worker_documents
 from apricotpin.platform.store_client import RawPage, StoreClient
 
 # The longest that a follower lets the store wait for a change.
@@ -35,9 +35,9 @@
 )
 _DECODERS: Final = types.MappingProxyType(
     {
-        Feed.OPERATOR: documents.operator_entry,
-        Feed.UPSTREAMS: documents.upstream_entry,
-        Feed.HOSTS: documents.host_entry,
+        Feed.OPERATOR: operator_documents.operator_entry,
+        Feed.UPSTREAMS: worker_documents.upstream_entry,
+        Feed.HOSTS: worker_documents.host_entry,
     }
 )
 
@@ -108,7 +108,7 @@
     message: RecordHost,
 ) -> Result[None, Failure]:
     host = message.host
-    content = documents.encode_host(host) if message.listed else b''
+    content = worker_documents.encode_host(host) if message.listed else b''
     return client.append(names.TOPIC_HOSTS, host.host_id, content)
 
 
--- a/apricotpin/platform/store_client.py
+++ b/apricotpin/platform/store_client.py
@@ -54,23 +54,18 @@
         Pages are not a snapshot, so changes are read from the first page's
         end on.
         """
-        records: list[tuple[str, bytes]] = []
         path = names.PATH_LOG_NEWEST.format(topic=topic)
-        end_offset = -1
+        whole = RawPage([], -1)
         after = ''
         while True:
             answered = self._call('GET', path + after)
             if answered.is_err():
                 return answered
             page = json.loads(answered.ok_value)
-            if end_offset < 0:
-                end_offset = page['end_offset']
-            for record in page['items']:
-                content = base64.b64decode(record.get('value') or '')
-                records.append((record['key'], content))
-            if not page.get('has_more') or not page['items']:
-                return Ok(RawPage(records, end_offset))
-            after = f'&after={page["items"][-1]["key"]}'
+            last_key = _add_newest(whole, page)
+            if not page.get('has_more') or not last_key:
+                return Ok(whole)
+            after = f'&after={last_key}'
 
     def read(
         self,
@@ -149,6 +144,18 @@
         return response.status_code, bytes(response.read())
 
 
+def _add_newest(whole: RawPage, page: Any) -> str:
+    """Add a page of newest records; return its last key."""
+    if whole.next_offset < 0:
+        whole.next_offset = page['end_offset']
+    last_key = ''
+    for record in page['items']:
+        last_key = record['key']
+        content = base64.b64decode(record.get('value') or '')
+        whole.records.append((last_key, content))
+    return last_key
+
+
 def _parse_page(body: bytes, offset: int) -> Result[RawPage, Failure]:
     try:
         records = list(_split_records(body[_OFFSETS.size :]))
@@ -160,7 +167,7 @@
 def _split_records(body: bytes) -> Any:
     position = 0
     while position < len(body):
-        (length,) = _LENGTH.unpack_from(body, position)
+        length = _LENGTH.unpack_from(body, position)[0]
         position += _LENGTH.size
         record = body[position : position + length]
         if len(record) < length:
--- a/apricotpin/platform/worker.py
+++ b/apricotpin/platform/worker.py
@@ -18,7 +18,7 @@
 )
 from apricotpin.platform import names
 from apricotpin.platform.calls import HttpCaller, expect
-from apricotpin.platform.documents import loaded_layers
+from apricotpin.platform.worker_documents import loaded_layers
 
 _CONNECTIONS: Final = 4
 _STATUS_ACCEPTED: Final = (200, 202)
--- /dev/null
+++ b/tests/components/dispatch/choice.feature
@@ -0,0 +1,85 @@
+Feature: Choice of an upstream by dispatch
+  Work must not go to a worker that leaves, holds no allowed version or was
+  replaced, and the load must stay even over those that remain.
+
+  Scenario Outline: a worker that is <property> is <chosen>
+    Given dispatch knows a worker that is <property>
+    When dispatch chooses
+    Then dispatch's choice is <chosen>
+
+    Examples:
+      | property                   | chosen      |
+      | idle                       | made        |
+      | draining                   | no_upstream |
+      | of another service         | no_upstream |
+      | without weights            | no_upstream |
+      | half loaded                | no_upstream |
+      | reported unreachable       | no_upstream |
+      | reported as started anew   | no_upstream |
+      | full                       | overloaded  |
+      | full by reports            | overloaded  |
+      | full by an old report      | made        |
+      | resting                    | overloaded  |
+      | rested                     | made        |
+      | entered whole, never reported | made     |
+      | entered empty, never reported | no_upstream |
+
+  Scenario Outline: of two workers the one that is <better> goes before one that is <worse>
+    Given dispatch knows a worker that is <better> and one that is <worse>
+    When dispatch chooses 50 times
+    Then dispatch chose the first each time
+
+    Examples:
+      | better    | worse     |
+      | idle      | busy      |
+      | near      | far       |
+      | far       | switching |
+      | idle      | failing   |
+      | far       | failing   |
+      | far       | half full |
+
+  Scenario Outline: version <held> is <fate> when <declared> has been known for <known> s
+    When dispatch judges version <held> with <declared> known for <known> s
+    Then dispatch's version is <fate>
+
+    Examples:
+      | held | declared | known | fate      |
+      | 1    | 1        | 99    | allowed   |
+      | 1    | 2        | 1     | allowed   |
+      | 1    | 2        | 7     | allowed   |
+      | 1    | 2        | 7.5   | forbidden |
+      | 2    | 1        | 99    | allowed   |
+      | 2    | 3        | 9     | forbidden |
+
+  Scenario: a newer version does not prolong the bound of the one before it
+    When dispatch judges version 1 with 2 known for 8 s and 3 for 1 s
+    Then dispatch's version is forbidden
+
+  Scenario Outline: with <requests> requests on <hosts> hosts <retries> retries are allowed
+    When dispatch on one of <hosts> hosts counts <requests> requests
+    Then dispatch allows <retries> retries
+
+    Examples:
+      | requests | hosts | retries |
+      | 0        | 1     | 71      |
+      | 0        | 7     | 10      |
+      | 100      | 7     | 24      |
+      | 1000     | 7     | 150     |
+
+  Scenario: requests of an earlier window allow no retries
+    When dispatch counts 1000 requests and 60 s pass
+    Then dispatch allows 10 retries
+
+  Scenario Outline: after <verdicts> a worker is <state>
+    When dispatch notes the verdicts <verdicts>
+    Then dispatch's worker is <state>
+
+    Examples:
+      | verdicts                     | state   |
+      | answered                     | free    |
+      | upstream_busy                | resting |
+      | reset_before_answer          | resting |
+      | connect_failed               | resting |
+      | caller_left                  | free    |
+      | upstream_error               | free    |
+      | reset_before_answer, answered | resting |
--- /dev/null
+++ b/tests/components/follower/lapses.feature
@@ -0,0 +1,27 @@
+Feature: Entries that vanish
+  A worker whose entry lapsed while the store was away must not be lost, and
+  one that left must not be kept.
+
+  Scenario Outline: an entry of a <kind> worker that vanishes <when> is <fate>
+    Given follower lists a <kind> worker
+    When follower's store is away and back at 10 s, and the entry vanishes at <at> s
+    Then follower takes the worker as <fate> at <at> s
+    And follower takes the worker as <later> at 13 s
+
+    Examples:
+      | kind     | when            | at    | fate  | later |
+      | ready    | at the return   | 10.0  | there | gone  |
+      | ready    | soon after it   | 11.0  | there | gone  |
+      | ready    | well after it   | 12.6  | gone  | gone  |
+      | draining | at the return   | 10.0  | gone  | gone  |
+
+  Scenario: an entry that returns in time keeps its worker
+    Given follower lists a ready worker
+    When follower's store is away and back at 10 s, and the entry vanishes at 10 s
+    And follower's entry is back at 11 s
+    Then follower takes the worker as there at 13 s
+
+  Scenario: an entry that vanishes while the store is well is gone at once
+    Given follower lists a ready worker
+    When follower's entry vanishes at 5 s
+    Then follower takes the worker as gone at 5 s
--- /dev/null
+++ b/tests/components/installer/decisions.feature
@@ -0,0 +1,75 @@
+Feature: What an agent does with a version
+  A worker must never be ordered to load what is incomplete or unchecked, an
+  empty worker must not wait, and not all workers may switch at once.
+
+  Scenario Outline: a worker <worker> with <pieces> pieces, turn <turn>: <action>
+    Given installer with a worker <worker> and <pieces> of 4 pieces in turn <turn>
+    When installer decides after <after> s
+    Then installer's next step is <action>
+
+    Examples:
+      | worker          | pieces | turn | after | action |
+      | empty           | 4      | 0    | 1     | start  |
+      | empty           | 4      | 2    | 1     | start  |
+      | empty           | 3      | 0    | 1     | wait   |
+      | unscanned       | 0      | 0    | 1     | scan   |
+      | unstaged        | 3      | 0    | 1     | stage  |
+      | unstaged        | 4      | 0    | 1     | stage  |
+      | older           | 4      | 0    | 1     | start  |
+      | older           | 4      | 2    | 1     | wait   |
+      | older           | 4      | 2    | 6.5   | start  |
+      | installed       | 4      | 0    | 1     | wait   |
+      | newer           | 4      | 0    | 1     | wait   |
+      | unreachable     | 4      | 0    | 1     | wait   |
+      | half loaded     | 4      | 2    | 1     | start  |
+      | ordered         | 4      | 0    | 1     | wait   |
+      | ordered in vain | 4      | 0    | 9     | start  |
+      | without a manifest | 0   | 0    | 1     | wait   |
+
+  Scenario Outline: version 3 <relation> version 2 with <pieces> of 4 pieces in group <group>
+    Given installer with a worker older and <pieces> of 4 pieces in turn 0
+    When installer in group <group> hears of version 3
+    Then installer <relation> the version in progress
+
+    Examples:
+      | pieces | group | relation |
+      | 0      | 0     | replaces |
+      | 2      | 0     | replaces |
+      | 3      | 0     | finishes |
+      | 3      | 1     | replaces |
+
+  Scenario Outline: nothing has come for <silent> s and an older version is <held>
+    Given installer with a worker older and 1 of 4 pieces in turn 0
+    When installer has waited for <silent> s and parked a version that is <held>
+    Then installer falls back to <version>
+
+    Examples:
+      | silent | held               | version |
+      | 0.5    | known              | none    |
+      | 1.5    | known              | 2       |
+      | 1.5    | unknown            | none    |
+      | 1.5    | what the worker has | none   |
+
+  Scenario Outline: content that is <property> is <sound>
+    When installer checks content that is <property>
+    Then installer finds it <sound>
+
+    Examples:
+      | property | sound |
+      | right    | sound |
+      | spoilt   | bad   |
+      | missing  | bad   |
+
+  Scenario Outline: <worker> with <pieces> of 4 pieces after <after> s is <state> for entry hosts
+    Given installer with a worker <worker> and <pieces> of 4 pieces in turn <turn>
+    When installer decides after <after> s
+    Then installer tells entry hosts that it is <state>
+
+    Examples:
+      | worker    | pieces | turn | after | state     |
+      | older     | 1      | 0    | 1     | serving   |
+      | older     | 3      | 0    | 1     | switching |
+      | older     | 4      | 0    | 1     | switching |
+      | older     | 4      | 2    | 1     | serving   |
+      | ordered   | 4      | 2    | 1     | switching |
+      | installed | 4      | 0    | 1     | serving   |
--- /dev/null
+++ b/tests/components/presence/groups.feature
@@ -0,0 +1,49 @@
+Feature: Groups in which workers switch
+  Requests need workers while others switch, so those of a data centre take a
+  new version in groups, the later ones after the earlier.
+
+  Scenario Outline: worker <worker> of <count> is in group <group> behind <earlier>
+    When presence groups <count> workers
+    Then presence puts worker <worker> in group <group> behind <earlier>
+
+    Examples:
+      | count | worker | group | earlier |
+      | 1     | 0      | 0     | 0       |
+      | 2     | 0      | 0     | 0       |
+      | 2     | 1      | 1     | 1       |
+      | 3     | 1      | 0     | 0       |
+      | 3     | 2      | 1     | 2       |
+      | 4     | 3      | 1     | 2       |
+
+  Scenario Outline: earlier workers that are <state> hold back <held>
+    When presence counts 2 earlier workers that are <state>
+    Then presence holds a worker back for <held>
+
+    Examples:
+      | state       | held |
+      | older       | 2    |
+      | empty       | 0    |
+      | switched    | 0    |
+      | unreachable | 0    |
+
+  Scenario Outline: a report with the count <count> after 100 is <fate>
+    When presence receives a report with the count <count> after 100
+    Then presence takes it as <fate>
+
+    Examples:
+      | count | fate  |
+      | 101   | newer |
+      | 99    | older |
+      | 1     | newer |
+
+  Scenario Outline: a datagram that is <kind> is <fate>
+    When presence decodes a datagram that is <kind>
+    Then presence finds it <fate>
+
+    Examples:
+      | kind     | fate |
+      | a report | read |
+      | a greeting | read |
+      | torn     | nothing |
+      | noise    | nothing |
+      | empty    | nothing |
--- /dev/null
+++ b/tests/platform/codec.feature
@@ -0,0 +1,48 @@
+Feature: Heads of requests and answers
+  What a caller sent must reach the worker unchanged, except for the headers
+  that concern one connection or that the system sets itself.
+
+  Scenario Outline: a caller's header <header> is <fate>
+    When codec passes on a request with the header <header>
+    Then codec's worker receives <received>
+
+    Examples:
+      | header                      | fate      | received                     |
+      | X-Model: m                  | kept      | X-Model: m                   |
+      | X-Token-Count: 5,6          | kept      | X-Token-Count: 5,6           |
+      | X-Attempt-Id: abc           | kept      | X-Attempt-Id: abc            |
+      | Authorization: Token secret | left out  | no Authorization             |
+      | X-Tenant: forged            | replaced  | X-Tenant: tenant-1           |
+      | X-Expect-Instance: forged   | replaced  | X-Expect-Instance: worker-1  |
+      | X-Deadline-Ms: 6000         | replaced  | X-Deadline-Ms: 1500          |
+      | Last-Event-Id: 3            | replaced  | Last-Event-Id: 7             |
+      | Connection: X-Hop           | left out  | no Connection                |
+      | Transfer-Encoding: chunked  | left out  | no Transfer-Encoding         |
+      | Path: 10.0.0.1:80=0-4       | left out  | no Path                      |
+
+  Scenario: a header that Connection names stays on its connection
+    When codec passes on a request with a header named by Connection
+    Then codec's worker receives no X-Hop
+
+  Scenario Outline: an answer <status> with <header> is <meaning>
+    When codec reads an answer <status> with <header>
+    Then codec's answer is <meaning>
+
+    Examples:
+      | status | header                | meaning     |
+      | 200    | X-Server-Seal: a.b    | sealed      |
+      | 200    | Server: x             | unsealed    |
+      | 503    | X-Not-Executed: 1     | not run     |
+      | 421    | X-Instance-Id: i-2    | misdirected |
+      | 200    | Content-Encoding: gzip | encoded    |
+      | 200    | Keep-Alive: timeout=5 | idle 5      |
+
+  Scenario Outline: a deadline of <deadline> is <outcome>
+    When codec reads a request with the deadline <deadline>
+    Then codec's outcome is <outcome>
+
+    Examples:
+      | deadline | outcome     |
+      | 6000     | 6.0         |
+      | soon     | bad_request |
+      | -1       | bad_request |
--- /dev/null
+++ b/tests/steps/dispatch_steps.py
@@ -0,0 +1,203 @@
+"""Steps for the choice of an upstream and the retry budget."""
+
+import random
+
+from behave import given, then, when
+
+from apricotpin.components.dispatch import decisions
+from apricotpin.components.dispatch.state import DispatchState, Upstream, Window
+from apricotpin.helpers.exchange import Verdict
+from apricotpin.host_settings import Bounds
+from apricotpin.messages.desired import Engine, ServiceSpec
+from apricotpin.messages.fleet import LoadReport
+from apricotpin.messages.upstreams import LoadedLayers, UpstreamEntry
+
+_NOW_S = 1000.0
+_BOUNDS = Bounds(2, 3, 2, 8, 102, 0.2, 10, 8)
+_ENGINE = Engine('m', 16, 16, 64, 32768, 0.3)
+_WHOLE = (LoadedLayers('m', 1, 0, 16),)
+
+
+def make_report(**changed):
+    """Return the report of an idle worker with version 1, changed as given."""
+    fields = {
+        'address': '10.0.0.1:80',
+        'peer_address': '10.0.0.1:7700',
+        'data_centre': 'near',
+        'service_name': 'drafting',
+        'count': 1,
+        'reachable': True,
+        'started_ms': 5,
+        'active': 0,
+        'queued': 0,
+        'version': 1,
+        'layers_start': 0,
+        'layers_end': 16,
+        'switching': False,
+    }
+    return LoadReport(**{**fields, **changed})
+
+
+def make_state():
+    """Return a state that knows the drafting service and no worker."""
+    state = DispatchState('near', _BOUNDS)
+    state.services = {'drafting': ServiceSpec('drafting', 264, _ENGINE)}
+    return state
+
+
+def _entry(name, data_centre='near', **changed):
+    fields = {
+        'instance_id': name,
+        'service': 'drafting',
+        'address': '10.0.0.1:80',
+        'data_centre': data_centre,
+        'slots': 16,
+        'draining': False,
+        'started_ms': 5,
+        'loaded': _WHOLE,
+    }
+    return UpstreamEntry(**{**fields, **changed})
+
+
+def _upstream(name, described):
+    entries = {
+        'draining': {'draining': True},
+        'of another service': {'service': 'fees'},
+        'entered empty, never reported': {'loaded': ()},
+        'far': {'data_centre': 'far'},
+    }
+    reports = {
+        'without weights': {'version': 0, 'layers_end': 0},
+        'half loaded': {'layers_end': 8},
+        'reported unreachable': {'reachable': False},
+        'reported as started anew': {'started_ms': 6},
+        'full by reports': {'active': 16, 'queued': 2},
+        'full by an old report': {'active': 16, 'queued': 2},
+        'busy': {'active': 8},
+        'half full': {'active': 10},
+        'switching': {'switching': True},
+    }
+    upstream = Upstream(_entry(name, **entries.get(described, {})))
+    if 'never reported' not in described:
+        report = make_report(**reports.get(described, {}))
+        age_s = 5 if 'old' in described else 0.1
+        decisions.note_report(upstream, report, _NOW_S - age_s)
+    if described == 'full':
+        upstream.own = 18
+    if described == 'failing':
+        upstream.failure_score = 0.9
+    if described in {'resting', 'rested'}:
+        sign = 1 if described == 'resting' else -1
+        upstream.rest_until_s = _NOW_S + sign
+    return upstream
+
+
+@given('dispatch knows a worker that is {described}')
+def knows_one(context, described):
+    context.state = make_state()
+    names = described.split(' and one that is ')
+    context.state.upstreams = {
+        str(number): _upstream(str(number), name)
+        for number, name in enumerate(names)
+    }
+
+
+def _choose(context):
+    return decisions.choose(
+        context.state,
+        'drafting',
+        (),
+        _NOW_S,
+        context.random,
+    )
+
+
+@when('dispatch chooses')
+def choose(context):
+    context.random = random.Random(1).random
+    context.chosen = _choose(context)
+
+
+@then("dispatch's choice is {chosen}")
+def choice_is(context, chosen):
+    found = context.chosen
+    kind = 'made' if found.is_ok() else found.err_value.kind.value
+    assert kind == chosen, found
+
+
+@when('dispatch chooses {count:d} times')
+def choose_often(context, count):
+    context.random = random.Random(1).random
+    context.all_chosen = [
+        _choose(context).ok_value.entry.instance_id for _ in range(count)
+    ]
+
+
+@then('dispatch chose the first each time')
+def chose_first(context):
+    assert set(context.all_chosen) == {'0'}, context.all_chosen
+
+
+@when(
+    'dispatch judges version {held:d} with {declared:d} known for {known:g} s'
+)
+def judge_version(context, held, declared, known):
+    state = make_state()
+    state.targets = {'m': {declared: _NOW_S - known}}
+    context.allowed = decisions.is_allowed(state, 'm', held, _NOW_S)
+
+
+@when('dispatch judges version 1 with 2 known for 8 s and 3 for 1 s')
+def judge_skipped(context):
+    state = make_state()
+    state.targets = {'m': {2: _NOW_S - 8, 3: _NOW_S - 1}}
+    context.allowed = decisions.is_allowed(state, 'm', 1, _NOW_S)
+
+
+@then("dispatch's version is {fate}")
+def version_is(context, fate):
+    assert context.allowed == (fate == 'allowed')
+
+
+@when('dispatch on one of {hosts:d} hosts counts {requests:d} requests')
+def count_requests(context, hosts, requests):
+    context.state = make_state()
+    context.state.entry_hosts = hosts
+    context.window = Window()
+    context.now_s = _NOW_S
+    for _ in range(requests):
+        decisions.note_arrival(context.window, False, _NOW_S)
+
+
+@when('dispatch counts {requests:d} requests and {passed:d} s pass')
+def count_and_wait(context, requests, passed):
+    count_requests(context, 7, requests)
+    context.now_s = _NOW_S + passed
+
+
+@then('dispatch allows {retries:d} retries')
+def allows(context, retries):
+    allowed = 0
+    while decisions.may_retry(context.state, context.window, context.now_s):
+        decisions.note_arrival(context.window, True, context.now_s)
+        allowed += 1
+        assert allowed <= retries, allowed
+    assert allowed == retries, allowed
+
+
+@when('dispatch notes the verdicts {verdicts}')
+def note_verdicts(context, verdicts):
+    context.upstream = _upstream('0', 'idle')
+    for name in verdicts.split(', '):
+        decisions.note_verdict(
+            context.upstream,
+            Verdict(name),
+            _NOW_S,
+            lambda failures: failures * 0.3,
+        )
+
+
+@then("dispatch's worker is {state}")
+def worker_is(context, state):
+    room = decisions.has_room(context.upstream, True, _NOW_S)
+    assert room == (state == 'free')
--- /dev/null
+++ b/tests/steps/installer_steps.py
@@ -0,0 +1,120 @@
+"""Steps for what agents decide."""
+
+import hashlib
+
+from behave import given, then, when
+
+from apricotpin.components.installer import decisions
+from apricotpin.components.installer.state import Install, WorkerView
+from apricotpin.messages.pieces import WorkerReport
+from apricotpin.messages.upstreams import LoadedLayers
+
+_BEGUN_S = 100.0
+_LAYERS = 16
+_PIECES = [b'0', b'1', b'2', b'3']
+_HELD = {
+    'older': (1, 16),
+    'installed': (2, 16),
+    'newer': (3, 16),
+    'half loaded': (1, 8),
+    'ordered': (1, 16),
+    'ordered in vain': (1, 16),
+}
+
+
+def _digests():
+    return [hashlib.sha256(piece).hexdigest() for piece in _PIECES]
+
+
+def _install(version, held, worker=''):
+    install = Install('m', version, _BEGUN_S, _BEGUN_S + 6.24)
+    stock = install.stock
+    stock.layers = _LAYERS
+    stock.digests = [] if worker == 'without a manifest' else _digests()
+    stock.pieces = dict(enumerate(_PIECES[:held]))
+    stock.staged = set() if worker == 'unstaged' else set(stock.pieces)
+    stock.scanned = worker != 'unscanned'
+    if worker.startswith('ordered'):
+        install.ordered_s = _BEGUN_S
+    return install
+
+
+@given(
+    'installer with a worker {worker} and {held:d} of 4 pieces in turn {turn:d}'
+)
+def installer_with(context, worker, held, turn):
+    context.view = WorkerView()
+    version, end = _HELD.get(worker, (0, 0))
+    loaded = (LoadedLayers('m', version, 0, end),) if version else ()
+    report = WorkerReport(0, 0, False, 7, loaded)
+    decisions.view_report(context.view, report, _LAYERS)
+    if worker == 'unreachable':
+        context.view.misses = 2
+    context.install = _install(2, held, worker)
+    context.install.turn = turn
+
+
+@when('installer decides after {after:g} s')
+def decide(context, after):
+    context.now_s = _BEGUN_S + after
+
+
+@then("installer's next step is {action}")
+def next_step(context, action):
+    found = decisions.next_load(context.install, context.view, context.now_s)
+    assert found.value == action, found
+
+
+@then('installer tells entry hosts that it is {state}')
+def tells(context, state):
+    switching = decisions.is_switching(
+        context.install,
+        context.view,
+        context.now_s,
+    )
+    assert switching == (state == 'switching')
+
+
+@when('installer in group {group:d} hears of version 3')
+def hears(context, group):
+    context.install.group = group
+    context.replaces = decisions.supersedes(context.install, context.view, 3)
+
+
+@then('installer {relation} the version in progress')
+def relation_is(context, relation):
+    assert context.replaces == (relation == 'replaces')
+
+
+@when(
+    'installer has waited for {silent:g} s and parked a version that is {held}'
+)
+def parked(context, silent, held):
+    newest = _install(3, 1)
+    older = _install(1 if held == 'what the worker has' else 2, 2)
+    if held == 'unknown':
+        older.stock.digests = []
+    context.fallback = decisions.best_parked(
+        {older.version: older},
+        newest,
+        context.view,
+        _BEGUN_S + silent,
+    )
+
+
+@then('installer falls back to {version}')
+def falls_back(context, version):
+    found = context.fallback
+    fallback = 'none' if found is None else str(found.version)
+    assert fallback == version, fallback
+
+
+@when('installer checks content that is {described}')
+def check(context, described):
+    content = {'right': b'1', 'spoilt': b'x', 'missing': None}[described]
+    context.sound = decisions.is_sound(_install(2, 0), 1, content)
+
+
+@then('installer finds it {verdict}')
+def finds(context, verdict):
+    assert context.sound == (verdict == 'sound')
--- /dev/null
+++ b/tests/steps/platform_steps.py
@@ -0,0 +1,216 @@
+"""Steps for the adapter to the platform."""
+
+import json
+import pathlib
+import shutil
+import tempfile
+
+import yaml
+from behave import given, then, when
+
+from apricotpin.messages.calls import Handover
+from apricotpin.platform import call_codec
+from apricotpin.platform.operator_documents import operator_entry
+from apricotpin.platform.settings_file import read_settings
+from apricotpin.platform.worker_documents import upstream_entry
+
+_WORKER = {
+    'service': 'drafting',
+    'address': '10.0.0.1:8080',
+    'zone': 'a',
+    'slots': 16,
+    'state': 'ready',
+    'born': 17,
+    'models': [{'name': 'm', 'version': 1}],
+    'layers': [{'source': 0, 'to': 16, 'version': 1}],
+}
+_DESIRED = {
+    'version': 3,
+    'routes': [
+        {
+            'name': 'r',
+            'hostname': 'h',
+            'path_prefix': '/a/',
+            'route_type': 'streaming',
+            'timeout_ms': 6000,
+            'goal_ms': 400,
+            'service': 'drafting',
+        },
+    ],
+    'services': [{'name': 'drafting'}],
+}
+_BOUNDS = {
+    'config_apply_ms': 2000,
+    'contact_ms': 3000,
+    'drain_ms': 2000,
+    'grace_s': 8,
+    'retry_allowance': 102,
+    'retry_budget_ratio': 0.2,
+    'retry_window_s': 10,
+    'version_ms': 8000,
+}
+_SETTINGS = {
+    'node_name': 'edge-1',
+    'machine_class': 'edge',
+    'ip': '10.0.0.2',
+    'zone': 'a',
+    'region': 'ra',
+    'zones': {'a': 'ra'},
+    'listen': {'frontend': '10.0.0.2:80', 'ready': '10.0.0.2:81'},
+    'internal_ports': [7700, 7715],
+    'platform': {'address': '10.9.9.9:80'},
+    'bounds': _BOUNDS,
+}
+
+
+def _changed(fields, change):
+    if change == 'torn bytes':
+        return json.dumps(fields).encode()[:-9]
+    if change == 'a list':
+        return b'[1]'
+    name, _, text = change.partition(' = ')
+    return json.dumps({**fields, name: json.loads(text)}).encode()
+
+
+@given('a platform worker entry with {change}')
+def worker_entry(context, change):
+    context.content = _changed(_WORKER, change)
+
+
+@when('platform decodes the worker entry')
+def decode_worker(context):
+    context.entry = upstream_entry('i-1', context.content)
+
+
+@when('platform decodes a worker entry without content')
+def decode_nothing(context):
+    context.entry = upstream_entry('i-1', b'')
+
+
+@given('a platform desired state with {change}')
+def desired_state(context, change):
+    context.content = _changed(_DESIRED, change)
+
+
+@when('platform decodes the desired state')
+def decode_desired(context):
+    context.entry = operator_entry('config', context.content)
+
+
+@then('platform finds a fault in it')
+def finds_fault(context):
+    assert context.entry.fault, context.entry.meaning
+    assert context.entry.meaning is None
+
+
+@then('platform finds that the worker is gone')
+def finds_gone(context):
+    assert context.entry.meaning is None
+    assert not context.entry.fault
+
+
+@then('platform reads layers {layers} of version {version:d}')
+def reads_layers(context, layers, version):
+    loaded = context.entry.meaning.loaded
+    if layers == 'none':
+        assert loaded == (), loaded
+        return
+    part = loaded[0]
+    assert f'{part.start}-{part.end}' == layers
+    assert part.version == version
+
+
+@given('platform settings with {change}')
+def settings_file(context, change):
+    fields = json.loads(_changed(_SETTINGS, change))
+    folder = tempfile.mkdtemp()
+    context.path = pathlib.Path(folder) / 'node.yaml'
+    context.path.write_text(yaml.safe_dump(fields))
+    context.cleanups = [lambda: shutil.rmtree(folder)]
+
+
+@when('platform reads the settings file')
+def read_file(context):
+    context.settings = read_settings(context.path)
+
+
+@then('platform names the file and the path {path}')
+def names_path(context, path):
+    detail = context.settings.err_value.detail
+    assert str(context.path) in detail, detail
+    assert f'path={path} ' in detail, detail
+
+
+@then('platform settings are those of {host_id}')
+def settings_of(context, host_id):
+    assert context.settings.ok_value.host_id == host_id
+
+
+def _pass_on(headers):
+    head = call_codec.decode_request('POST', '/a/b?c', headers).ok_value
+    handover = Handover('worker-1', 'tenant-1', 1.5, '7', None)
+    return call_codec.encode_request(head, handover, b'body').decode()
+
+
+@when('codec passes on a request with the header {header}')
+def pass_on(context, header):
+    name, _, text = header.partition(': ')
+    context.encoded = _pass_on([('Host', 'h'), (name, text)])
+
+
+@when('codec passes on a request with a header named by Connection')
+def pass_on_named(context):
+    headers = [('Host', 'h'), ('Connection', 'X-Hop'), ('X-Hop', '1')]
+    context.encoded = _pass_on(headers)
+
+
+@then("codec's worker receives {received}")
+def worker_receives(context, received):
+    lines = context.encoded.split('\r\n')
+    assert lines[0] == 'POST /a/b?c HTTP/1.1', lines[0]
+    assert lines[-1] == 'body'
+    if received.startswith('no '):
+        name = received.removeprefix('no ')
+        assert not [line for line in lines if line.startswith(f'{name}:')]
+        return
+    name = received.partition(':')[0]
+    found = [line for line in lines if line.startswith(f'{name}:')]
+    assert found == [received], found
+
+
+@when('codec reads an answer {status:d} with {header}')
+def read_answer(context, status, header):
+    name, _, text = header.partition(': ')
+    context.answer = call_codec.decode_answer(status, [(name, text)])
+
+
+@then("codec's answer is {meaning}")
+def answer_is(context, meaning):
+    answer = context.answer
+    found = {
+        'sealed': answer.sealed,
+        'unsealed': answer.sealed is False,
+        'not run': answer.not_run,
+        'misdirected': answer.misdirected,
+        'encoded': answer.encoded_body,
+        'idle 5': answer.idle_s == 5,
+    }
+    assert found[meaning]
+
+
+@when('codec reads a request with the deadline {deadline}')
+def read_deadline(context, deadline):
+    context.decoded = call_codec.decode_request(
+        'GET',
+        '/',
+        [('X-Deadline-Ms', deadline)],
+    )
+
+
+@then("codec's outcome is {outcome}")
+def outcome_is(context, outcome):
+    decoded = context.decoded
+    if decoded.is_err():
+        assert decoded.err_value.kind.value == outcome
+    else:
+        assert decoded.ok_value.deadline_s == float(outcome)
--- /dev/null
+++ b/tests/steps/presence_steps.py
@@ -0,0 +1,69 @@
+"""Steps for groups of workers, reports and datagrams."""
+
+from behave import then, when
+
+from apricotpin.components.presence import decisions
+from apricotpin.helpers.wire import decode_datagram, encode_datagram
+from apricotpin.messages.fleet import EntryHello, WeightsTarget
+from tests.steps.dispatch_steps import make_report
+
+
+@when('presence groups {count:d} workers')
+def group(context, count):
+    context.reports = [
+        make_report(address=f'10.0.0.{number}:80') for number in range(count)
+    ]
+
+
+@then('presence puts worker {worker:d} in group {number:d} behind {earlier:d}')
+def grouped(context, worker, number, earlier):
+    address = f'10.0.0.{worker}:80'
+    found, before = decisions.group_of(address, context.reports)
+    assert (found, len(before)) == (number, earlier), (found, len(before))
+
+
+@when('presence counts 2 earlier workers that are {state}')
+def count_earlier(context, state):
+    fields = {
+        'older': {'version': 1},
+        'empty': {'version': 0},
+        'switched': {'version': 2},
+        'unreachable': {'version': 1, 'reachable': False},
+    }[state]
+    reports = [make_report(**fields), make_report(**fields)]
+    context.held = decisions.count_behind(reports, 2)
+
+
+@then('presence holds a worker back for {held:d}')
+def held_back(context, held):
+    assert context.held == held
+
+
+@when('presence receives a report with the count {count:d} after 100')
+def receive_report(context, count):
+    known = decisions.Seen(make_report(count=100), 0)
+    context.newer = decisions.is_newer(known, make_report(count=count))
+
+
+@then('presence takes it as {fate}')
+def taken(context, fate):
+    assert context.newer == (fate == 'newer')
+
+
+@when('presence decodes a datagram that is {kind}')
+def decode(context, kind):
+    target = WeightsTarget('drafting', 'm', 2, 10)
+    hello = EntryHello('e1', '10.0.0.9:7700', 'a', [target], 1, 1, 7)
+    received = {
+        'a report': encode_datagram(make_report()),
+        'a greeting': encode_datagram(hello),
+        'torn': encode_datagram(hello)[:-7],
+        'noise': b'\x0f\xff' * 9,
+        'empty': b'',
+    }[kind]
+    context.decoded = decode_datagram(received)
+
+
+@then('presence finds it {fate}')
+def decoded(context, fate):
+    assert (context.decoded is None) == (fate == 'nothing'), context.decoded
--- /dev/null
+++ b/tests/steps/routes_steps.py
@@ -0,0 +1,102 @@
+"""Steps for routes, keys and their decisions."""
+
+from behave import then, when
+
+from apricotpin.components.routes import decisions
+from apricotpin.messages.calls import ResolveCall
+from apricotpin.messages.desired import (
+    CallerLimits,
+    DesiredState,
+    Route,
+    RouteKind,
+    Split,
+    Tenant,
+)
+
+
+def make_route(
+    prefix='/x/',
+    service='plain',
+    kind=RouteKind.IDEMPOTENT,
+    priority=3,
+    anonymous=False,
+    max_attempts=2,
+    resumable=False,
+    goal_s=0.4,
+    timeout_s=6.0,
+):
+    """Return a route whose fields matter to no test unless they are given."""
+    return Route(
+        name=f'route-{prefix}',
+        host='a.test',
+        path_prefix=prefix,
+        kind=kind,
+        splits=(Split(service, 1),),
+        timeout_s=timeout_s,
+        goal_s=goal_s,
+        gap_s=0.3,
+        max_attempts=max_attempts,
+        priority=priority,
+        anonymous=anonymous,
+        resumable=resumable,
+    )
+
+
+def make_state(routes, tenants):
+    """Return a desired state with these routes and tenants."""
+    limits = CallerLimits(16384, 4096, 3, 15)
+    return DesiredState(1, tuple(routes), (), tuple(tenants), limits)
+
+
+def _resolve(state, host, target, key):
+    message = ResolveCall(host, target, '' if key == 'none' else key, 0)
+    return decisions.resolve(decisions.build_table(state), message)
+
+
+@when('routes resolve {host}/{path} with key {key}')
+def resolve(context, host, path, key):
+    state = make_state(
+        [
+            make_route(),
+            make_route('/x/y/', 'deep'),
+            make_route('/open/', anonymous=True),
+        ],
+        [Tenant('t', ('k1',), None)],
+    )
+    context.resolved = _resolve(state, host, f'/{path}', key)
+
+
+@then('routes answer {outcome}')
+def answer(context, outcome):
+    resolved = context.resolved
+    if resolved.is_err():
+        assert resolved.err_value.kind.value == outcome
+    else:
+        assert f'service {resolved.ok_value.service}' == outcome
+
+
+@when('routes choose at the point {point:f} of a split of 90 to 10')
+def choose_split(context, point):
+    route = make_route()
+    route.splits = (Split('big', 90), Split('small', 10))
+    context.chosen = decisions.choose_service(route, point)
+
+
+@then('routes chose {service}')
+def chose(context, service):
+    assert context.chosen == service
+
+
+@when(
+    'routes resolve for a tenant of priority {own} on a route of '
+    'priority {priority:d}',
+)
+def resolve_priority(context, own, priority):
+    tenant = Tenant('t', ('k1',), None if own == 'none' else int(own))
+    state = make_state([make_route(priority=priority)], [tenant])
+    context.resolved = _resolve(state, 'a.test', '/x/1', 'k1')
+
+
+@then('routes gave the priority {priority:d}')
+def answer_priority(context, priority):
+    assert context.resolved.ok_value.priority == priority
