--- a/apricotpin/components/follower/const.py
+++ b/apricotpin/components/follower/const.py
@@ -4,10 +4,12 @@
 
 # The store answers a read for changes after this time, so that a connection
 # that went silent is found within it.
-CHANGES_WAIT_S: Final = 2.5
+CHANGES_WAIT_S: Final = 4.0
 # Workers report about every 1.2 s and a leaving one must be avoided 2 s after
 # its notice, so the list is read well within that.
-UPSTREAMS_PAUSE_S: Final = 0.6
+UPSTREAMS_PAUSE_S: Final = 0.85
+# Entry hosts are greeted by each other, so their records are read rarely.
+HOSTS_PAUSE_S: Final = 6.0
 # Keeps a quick series of changes from becoming a read for each.
 CHANGES_PAUSE_S: Final = 0.1
 # Pauses after a failed read, growing from the first to the longest.
--- a/apricotpin/components/follower/reading.py
+++ b/apricotpin/components/follower/reading.py
@@ -2,7 +2,8 @@
 
 import random
 import time
-from typing import Any
+import types
+from typing import Any, Final
 
 import gevent
 from loguru import logger
@@ -31,6 +32,16 @@
 )
 
 
+# How long a read waits for a change, and the pause after it, in seconds.
+_PACES: Final = types.MappingProxyType(
+    {
+        Feed.OPERATOR: (const.CHANGES_WAIT_S, const.CHANGES_PAUSE_S),
+        Feed.UPSTREAMS: (0, const.UPSTREAMS_PAUSE_S),
+        Feed.HOSTS: (0, const.HOSTS_PAUSE_S),
+    }
+)
+
+
 def follow(kernel: Kernel, feed: Feed) -> None:
     """Read a feed over and over; a read that fails is repeated soon."""
     pause_s = jittered_pause(
@@ -38,8 +49,7 @@
         const.RETRY_LONGEST_S,
         random.random,
     )
-    wait_s = 0 if feed is Feed.UPSTREAMS else const.CHANGES_WAIT_S
-    rest_s = const.CHANGES_PAUSE_S if wait_s else const.UPSTREAMS_PAUSE_S
+    wait_s, rest_s = _PACES[feed]
     reader = FeedReader(kernel, feed, wait_s)
     failures = 0
     while True:
--- a/apricotpin/platform/store.py
+++ b/apricotpin/platform/store.py
@@ -22,7 +22,7 @@
 from apricotpin.platform.store_client import RawPage, StoreClient
 
 # The longest that a follower lets the store wait for a change.
-FEED_WAIT_S: Final = 2.5
+FEED_WAIT_S: Final = 4.0
 
 Decoder = Callable[[str, bytes], FeedEntry]
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -228,5 +228,3 @@
             pairs = (part.partition('=') for part in line.split())
             found.append({name: text for name, _, text in pairs})
     return found
-
-
