Ask again for a desired state that a peer failed to deliver

A host that heard of a newer version asked one peer once; a failed answer was never asked for again, and the peer read the store instead of what it remembered.

--- a/apricotpin/components/follower/const.py
+++ b/apricotpin/components/follower/const.py
@@ -24,4 +24,6 @@
 # After the store turned this host away, peers are asked first for this time.
 DIRECT_RETRY_S: Final = 1.5
 PEERS_ASKED: Final = 2
-PEER_TIMEOUT_S: Final = 1.5
+PEER_TIMEOUT_S: Final = 0.7
+# Offset that asks a peer for what it remembers.
+REMEMBERED: Final = -2
--- a/apricotpin/components/follower/peers.py
+++ b/apricotpin/components/follower/peers.py
@@ -1,5 +1,7 @@
 """Read the store for other entry hosts, and let them read for this one."""
 
+import time
+
 from loguru import logger
 
 from apricotpin.components.follower import decisions, reading
@@ -17,7 +19,14 @@
 class PeerReads:
     """Own what was read last and which entry hosts may be asked."""
 
-    __slots__ = ('_asked_version', '_kernel', '_memory', '_peers', '_version')
+    __slots__ = (
+        '_asked_s',
+        '_asked_version',
+        '_kernel',
+        '_memory',
+        '_peers',
+        '_version',
+    )
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
@@ -25,6 +34,7 @@
         self._peers: tuple[str, ...] = ()
         self._version = 0
         self._asked_version = 0
+        self._asked_s = float('-inf')
 
     def remember(self, message: FeedRead) -> None:
         """Keep what a read brought."""
@@ -47,8 +57,15 @@
 
     def hear_config(self, message: ConfigHeard, reply: Reply) -> None:
         """Fetch a newer desired state from the host that has it."""
-        if message.version > max(self._version, self._asked_version):
+        now_s = time.monotonic()
+        asked = decisions.is_asked(
+            self._asked_version,
+            now_s - self._asked_s,
+            message.version,
+        )
+        if message.version > self._version and not asked:
             self._asked_version = message.version
+            self._asked_s = now_s
             logger.bind(
                 version=message.version,
                 entry_host=message.peer_address,
--- a/apricotpin/components/follower/reading.py
+++ b/apricotpin/components/follower/reading.py
@@ -171,6 +171,9 @@
     """
     wait_s = message.wait_ms / 1000
     feed = Feed(message.feed)
+    if message.offset == const.REMEMBERED:
+        reply.forward(kernel.call(SERVICE_CONFIGURATION, GetRecords(feed)))
+        return
     page = read_store(kernel, feed, message.offset, wait_s)
     if page.is_err() and message.offset < 0:
         reply.forward(kernel.call(SERVICE_CONFIGURATION, GetRecords(feed)))
@@ -185,9 +188,9 @@
 
 
 def fetch_from_peer(kernel: Kernel, address: str) -> None:
-    """Fetch the operator's entries from a host that has newer ones."""
+    """Fetch the operator's entries from a host that remembers newer ones."""
     client = PeerClient()
-    message = ReadFeed(Feed.OPERATOR.value, -1, 0)
+    message = ReadFeed(Feed.OPERATOR.value, const.REMEMBERED, 0)
     page = read_peer(kernel, client, address, message)
     client.close()
     if page.is_ok():
--- a/apricotpin/messages/feeds.py
+++ b/apricotpin/messages/feeds.py
@@ -67,7 +67,7 @@
 class ReadFeed:
     """Ask another entry host to read a feed for this one.
 
-    offset is -1 for a snapshot.
+    offset is -1 for a snapshot, and -2 for what the peer remembers.
     """
 
     __slots__ = ('feed', 'offset', 'wait_ms')
--- a/tests/components/follower/lapses.feature
+++ b/tests/components/follower/lapses.feature
@@ -1,4 +1,4 @@
-Feature: Entries that vanish
+Feature: Entries that vanish, and versions heard of
   A worker whose entry lapsed while the store was away must not be lost, and
   one that left must not be kept.
 
@@ -25,3 +25,14 @@
     Given follower lists a ready worker
     When follower's entry vanishes at 5 s
     Then follower takes the worker as gone at 5 s
+
+  Scenario Outline: version <version> is <fate> <ago> s after version 5 was asked for
+    When follower hears of version <version> <ago> s after it asked for version 5
+    Then follower <fate> for it
+
+    Examples:
+      | version | ago | fate         |
+      | 5       | 0.1 | does not ask |
+      | 4       | 0.1 | does not ask |
+      | 6       | 0.1 | asks         |
+      | 5       | 1.0 | asks         |
