--- a/apricotpin/cli.py
+++ b/apricotpin/cli.py
@@ -6,6 +6,7 @@
 
 from apricotpin.commands import (
     config,
+    explain,
     fleet_status,
     processes,
     rollout,
@@ -29,8 +30,10 @@
 )
 app.command('entry')(processes.entry)
 app.command('agent')(processes.agent)
+app.command('explain')(explain.explain)
 app.command('status')(fleet_status.status)
-rollout.app.command('status')(rollout_status.status)
+rollout.app.command('explain')(explain.explain)
+app.command('status')(rollout_status.status)
 app.add_typer(config.app, name='config')
 app.add_typer(rollout.app, name='rollout')
 
