Mend the fallback to an older version and ask other relays for what they hold

Entry hosts that restarted meanwhile had only the origin to ask; the hosts after it in the order are now asked for what they hold. A test drives the installer through the fallback.

--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -11,8 +11,8 @@
 # One piece in transfer at a time: more only queue on the narrow link, before
 # the requests that arrive on it.
 FETCHES: Final = 1
-FETCH_WAIT_MS: Final = 2000
-FETCH_TIMEOUT_S: Final = 3.0
+FETCH_WAIT_MS: Final = 800
+FETCH_TIMEOUT_S: Final = 1.8
 RETRY_S: Final = 0.15
 # An entry host that did not deliver is asked last for this time.
 SUSPECT_S: Final = 2.0
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -207,7 +207,7 @@
         ).info('version_fallback')
         self._parked[install.version] = install
         self._install = self._parked.pop(older.version)
-        self._install.progress_s = now_s
+        self._install.stock.progress_s = now_s
         self._install.finish_first = True
 
     def _take_report(self, report: WorkerReport) -> None:
--- a/apricotpin/components/relay/decisions.py
+++ b/apricotpin/components/relay/decisions.py
@@ -1,5 +1,6 @@
 """Decide from whom an entry host fetches weights."""
 
+from apricotpin.components.relay.const import ORIGIN
 from apricotpin.helpers.hashing import rendezvous_order
 from apricotpin.messages.feeds import EntryHost
 
@@ -15,7 +16,8 @@
     All hosts compute the same order, so that one fetches from the origin,
     one of each data centre from that one, and the others from their own
     data centre's. A host before this one in the order may have failed, so
-    the origin is always the last resort.
+    the origin follows, and after it the hosts that may hold what the origin
+    no longer delivers.
     """
     chain = chain_of(hosts, origin_data_centre, key)
     near = [host for host in chain if host.data_centre == own.data_centre]
@@ -31,7 +33,21 @@
         for host in before_root
         if host.peer_address not in order
     )
-    return [*order, '']
+    others = [
+        host.peer_address
+        for host in chain
+        if host.peer_address not in order and host.host_id != own.host_id
+    ]
+    return [*order, ORIGIN, *others]
+
+
+def may_wait(sources: list[str], source: str) -> bool:
+    """Tell whether a source fetches for this host what it does not hold.
+
+    Hosts after the origin are asked only for what they hold, since they may
+    fetch from this one.
+    """
+    return sources.index(source) < sources.index(ORIGIN)
 
 
 def chain_of(
--- a/apricotpin/components/relay/service.py
+++ b/apricotpin/components/relay/service.py
@@ -51,12 +51,19 @@
 class Fetch:
     """Name what a worker fetches, from whom, and where the origin is."""
 
-    __slots__ = ('index', 'origin', 'source')
+    __slots__ = ('index', 'origin', 'source', 'wait_ms')
 
-    def __init__(self, index: int, source: str, origin: str) -> None:
+    def __init__(
+        self,
+        index: int,
+        source: str,
+        origin: str,
+        wait_ms: int,
+    ) -> None:
         self.index = index
         self.source = source
         self.origin = origin
+        self.wait_ms = wait_ms
 
 
 class Holding:
@@ -152,7 +159,12 @@
         if not message.version.isdigit():
             reply.ok(ChunkAnswer(const.STATUS_UNKNOWN))
             return
-        holding = self._holding(message.model, int(message.version))
+        key = (message.model, int(message.version))
+        if key not in self._holdings and not message.wait_ms:
+            # The asker may be the one from whom this host would fetch.
+            reply.ok(ChunkAnswer(const.STATUS_NOT_YET))
+            return
+        holding = self._holding(*key)
         content = holding.content.get(message.index)
         if content is not None:
             reply.ok(ChunkAnswer(const.STATUS_OK, content))
@@ -228,19 +240,24 @@
             holding.wanted.append(index)
 
     def _fetch(self, holding: Holding, index: int) -> Fetch:
-        return Fetch(index, self._sources(holding)[0], self._origin)
+        sources = self._sources(holding)
+        now_s = time.monotonic()
+        source = next(
+            (one for one in sources if self._suspects.get(one, 0) < now_s),
+            sources[0],
+        )
+        wait_ms = 0
+        if decisions.may_wait(sources, source):
+            wait_ms = const.FETCH_WAIT_MS
+        return Fetch(index, source, self._origin, wait_ms)
 
     def _sources(self, holding: Holding) -> list[str]:
-        now_s = time.monotonic()
-        key = _key(holding.model, holding.version)
-        sources = decisions.sources_of(
+        return decisions.sources_of(
             self._own,
             self._hosts,
             self._origin_place,
-            key,
+            _key(holding.model, holding.version),
         )
-        trusted = [one for one in sources if self._suspects.get(one, 0) < now_s]
-        return trusted or sources
 
     def _suspect(self, source: str, failure: Failure) -> None:
         self._suspects[source] = time.monotonic() + const.SUSPECT_S
@@ -279,7 +296,7 @@
         if source == const.ORIGIN:
             content = _from_origin(kernel, holding, fetch.index, fetch.origin)
         else:
-            content = _from_peer(client, holding, fetch.index, source)
+            content = _from_peer(client, holding, fetch)
         kernel.send(
             SERVICE_WEIGHTS,
             Fetched(holding, fetch.index, source, content),
@@ -326,17 +343,16 @@
 def _from_peer(
     client: PeerClient,
     holding: Holding,
-    index: int,
-    address: str,
+    fetch: Fetch,
 ) -> Result[bytes, Failure]:
     asked = client.call(
-        address,
+        fetch.source,
         'fetch_chunk',
         FetchChunk(
             holding.model,
             str(holding.version),
-            index,
-            const.FETCH_WAIT_MS,
+            fetch.index,
+            fetch.wait_ms,
         ),
         const.FETCH_TIMEOUT_S,
     )
--- a/tests/components/installer/decisions.feature
+++ b/tests/components/installer/decisions.feature
@@ -73,3 +73,8 @@
       | older     | 4      | 2    | 1     | serving   |
       | ordered   | 4      | 2    | 1     | switching |
       | installed | 4      | 0    | 1     | serving   |
+
+  Scenario: an installer whose newer version does not come asks for the older
+    Given installer has 30 pieces of version 2 when it hears of version 3
+    When installer has waited 2 s in vain and a report arrives
+    Then installer asks for a piece of version 2
--- a/tests/steps/installer_steps.py
+++ b/tests/steps/installer_steps.py
@@ -1,11 +1,18 @@
 """Steps for what agents decide."""
 
 import hashlib
+import json
+import types
 
 from behave import given, then, when
+from gevent.event import AsyncResult
+from result import Ok
 
-from apricotpin.components.installer import decisions
+from apricotpin.components.installer import decisions, events
+from apricotpin.components.installer.service import InstallerService
 from apricotpin.components.installer.state import Install, WorkerView
+from apricotpin.core import Kernel, Reply
+from apricotpin.messages.fleet import EntryHello, WeightsTarget
 from apricotpin.messages.pieces import WorkerReport
 from apricotpin.messages.upstreams import LoadedLayers
 
@@ -118,3 +125,65 @@
 @then('installer finds it {verdict}')
 def finds(context, verdict):
     assert context.sound == (verdict == 'sound')
+
+
+def _hear(installer, version):
+    target = WeightsTarget('drafting', 'm', version, 100)
+    hello = EntryHello('e1', '10.0.0.9:7700', 'a', [target])
+    installer.hear_entry(hello, Reply())
+
+
+def _ask_piece(installer):
+    waiter = AsyncResult()
+    installer.next_piece(events.NextPiece(), Reply(waiter))
+    return waiter.get(timeout=1).ok_value
+
+
+@given('installer has {count:d} pieces of version 2 when it hears of version 3')
+def hears_newer(context, count):
+    settings = types.SimpleNamespace(
+        service='drafting',
+        data_centre='a',
+        upstream_address='10.0.0.1:80',
+        peer_address='10.0.0.1:7700',
+        bounds=types.SimpleNamespace(version_s=8),
+    )
+    installer = InstallerService(Kernel('agent'), settings)
+    _hear(installer, 2)
+    order = _ask_piece(installer)
+    pieces = [f'{number}'.encode() for number in range(64)]
+    digests = [hashlib.sha256(piece).hexdigest() for piece in pieces]
+    manifest = json.dumps({'layers': 16, 'digests': digests}).encode()
+    taken = events.PieceFetched(order, 'e1', manifest)
+    installer.take_piece(taken, Reply())
+    for _ in range(count):
+        order = _ask_piece(installer)
+        content = pieces[order.index]
+        installer.take_piece(
+            events.PieceFetched(order, 'e1', content),
+            Reply(),
+        )
+    _hear(installer, 3)
+    context.installer = installer
+
+
+@when('installer has waited {waited:d} s in vain and a report arrives')
+def waited_in_vain(context, waited):
+    newest = _ask_piece(context.installer).install
+    assert newest.version == 3, newest.version
+    newest.stock.progress_s -= waited
+    report = WorkerReport(0, 0, False, 7, (LoadedLayers('m', 1, 0, 16),))
+    context.installer.take_report(events.ReportRead(Ok(report)), Reply())
+
+
+@then('installer asks for a piece of version {version:d}')
+def asks_for(context, version):
+    context.installer.take_load(_scanned(context.installer), Reply())
+    assert _ask_piece(context.installer).install.version == version
+
+
+def _scanned(installer):
+    waiter = AsyncResult()
+    installer.next_load(events.NextLoad(), Reply(waiter))
+    order = waiter.get(timeout=1).ok_value
+    return events.LoadDone(order, True, {})
