--- a/apricotpin/components/installer/decisions.py
+++ b/apricotpin/components/installer/decisions.py
@@ -73,15 +73,20 @@
     return held < const.ALMOST_HERE_SHARE * max(1, len(install.stock.digests))
 
 
-def next_index(install: Install, is_there: bool) -> int | None:
+def next_index(
+    install: Install,
+    is_there: bool,
+    may_guess: bool,
+) -> int | None:
     """Return the piece to fetch next; the manifest comes first.
 
-    is_there tells whether the worker answers.
+    is_there tells whether the worker answers, and may_guess whether one that
+    does not is taken as empty.
     """
     if not install.stock.digests:
         wanted = const.MANIFEST_INDEX
         return None if wanted in install.stock.fetching else wanted
-    if not install.stock.scanned and is_there:
+    if not install.stock.scanned and (is_there or not may_guess):
         # What is staged already needs no transfer.
         return None
     taken = install.stock.fetching.union(install.stock.pieces)
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -267,12 +267,13 @@
 
     def _feed_fetchers(self, install: Install, now_s: float) -> None:
         view = self._view
-        if decisions.is_installed(view, install) and install.stock.digests:
+        if decisions.is_installed(view, install):
             return
         while self._fetchers:
             index = decisions.next_index(
                 install,
                 decisions.is_reachable(view),
+                not self._settings.first_start,
             )
             if index is None:
                 return
--- a/apricotpin/components/relay/service.py
+++ b/apricotpin/components/relay/service.py
@@ -73,6 +73,7 @@
         'bad',
         'content',
         'digests',
+        'eager',
         'idle_workers',
         'model',
         'started_s',
@@ -88,6 +89,8 @@
         # Content by index; the manifest has the index -1.
         self.content: dict[int, bytes] = {}
         self.digests: list[str] = []
+        # Whether all pieces are fetched, not the manifest alone.
+        self.eager = False
         self.wanted: deque[int] = deque([const.MANIFEST_INDEX])
         self.waiting: dict[int, list[Reply]] = {}
         self.idle_workers: list[Reply] = []
@@ -151,7 +154,7 @@
         chain = decisions.chain_of(self._hosts, self._origin_place, key)
         fresh = message.known_for_s >= 0
         if fresh and decisions.leads(self._own, chain):
-            self._holding(target.model, target.version)
+            self._fetch_all(self._holding(target.model, target.version))
         reply.ok()
 
     def fetch_chunk(self, message: FetchChunk, reply: Reply) -> None:
@@ -165,6 +168,8 @@
             reply.ok(ChunkAnswer(const.STATUS_NOT_YET))
             return
         holding = self._holding(*key)
+        if message.index != const.MANIFEST_INDEX:
+            self._fetch_all(holding)
         content = holding.content.get(message.index)
         if content is not None:
             reply.ok(ChunkAnswer(const.STATUS_OK, content))
@@ -214,7 +219,20 @@
             waiter.ok(ChunkAnswer(const.STATUS_OK, content))
 
     def _take_manifest(self, holding: Holding, content: bytes) -> None:
+        known = bool(holding.digests)
         holding.digests = json.loads(content)['digests']
+        if holding.eager and not known:
+            self._want_pieces(holding)
+
+    def _fetch_all(self, holding: Holding) -> None:
+        """Fetch all pieces: who asks for one asks for the others next."""
+        if holding.eager:
+            return
+        holding.eager = True
+        if holding.digests:
+            self._want_pieces(holding)
+
+    def _want_pieces(self, holding: Holding) -> None:
         for index, _ in enumerate(holding.digests):
             if index not in holding.content:
                 self._want(holding, index)
@@ -260,7 +278,11 @@
         )
 
     def _suspect(self, source: str, failure: Failure) -> None:
-        self._suspects[source] = time.monotonic() + const.SUSPECT_S
+        now_s = time.monotonic()
+        known = self._suspects.get(source, 0) > now_s
+        self._suspects[source] = now_s + const.SUSPECT_S
+        if known:
+            return
         logger.bind(
             source=source or 'origin',
             error=repr(failure),
--- a/apricotpin/host_settings.py
+++ b/apricotpin/host_settings.py
@@ -48,6 +48,7 @@
         'admin_listen',
         'bounds',
         'data_centre',
+        'first_start',
         'frontend_listen',
         'host_id',
         'ip',
@@ -79,7 +80,11 @@
         upstream_address: str,
         service: str,
         bounds: Bounds,
+        first_start: bool = False,
     ) -> None:
+        # Whether the whole system starts for the first time, with workers
+        # that hold their weights already.
+        self.first_start = first_start
         self.host_id = host_id
         self.role = role
         self.site = ''
--- a/apricotpin/platform/settings_file.py
+++ b/apricotpin/platform/settings_file.py
@@ -54,6 +54,10 @@
         """Return a text, empty where there is none."""
         return self.text(name) if self._document.get(name) else ''
 
+    def flag(self, name: str) -> bool:
+        """Tell whether a field is true; one that is missing is not."""
+        return self._document.get(name) is True
+
     def nested(self, name: str) -> 'Fields':
         """Return the fields of a mapping inside this one."""
         return Fields(self._document.get(name), self._join(name))
@@ -121,6 +125,7 @@
         upstream_address='' if is_entry else fields.text('app'),
         service='' if is_entry else fields.text('service'),
         bounds=_decode_bounds(fields.nested('bounds')),
+        first_start=fields.flag('bootstrap'),
     )
 
 
--- a/tests/components/installer/decisions.feature
+++ b/tests/components/installer/decisions.feature
@@ -78,3 +78,15 @@
     Given installer has 30 pieces of version 2 when it hears of version 3
     When installer has waited 2 s in vain and a report arrives
     Then installer asks for a piece of version 2
+
+  Scenario Outline: with <known> and a worker that is <there>, <guess>, it fetches <index>
+    When installer knows <known> of a version, its worker is <there> and it <guess>
+    Then installer fetches <index>
+
+    Examples:
+      | known      | there | guess       | index    |
+      | nothing    | there | may guess   | manifest |
+      | nothing    | away  | may guess   | manifest |
+      | a manifest | there | may guess   | nothing  |
+      | a manifest | away  | may guess   | 0        |
+      | a manifest | away  | has to wait | nothing  |
--- a/tests/steps/installer_steps.py
+++ b/tests/steps/installer_steps.py
@@ -146,6 +146,7 @@
         data_centre='a',
         upstream_address='10.0.0.1:80',
         peer_address='10.0.0.1:7700',
+        first_start=False,
         bounds=types.SimpleNamespace(version_s=8),
     )
     installer = InstallerService(Kernel('agent'), settings)
@@ -187,3 +188,21 @@
     installer.next_load(events.NextLoad(), Reply(waiter))
     order = waiter.get(timeout=1).ok_value
     return events.LoadDone(order, True, {})
+
+
+@when(
+    'installer knows {known} of a version, its worker is {there} and it {guess}'
+)
+def knows(context, known, there, guess):
+    worker = 'without a manifest' if known == 'nothing' else 'unscanned'
+    context.index = decisions.next_index(
+        _install(2, 0, worker),
+        there == 'there',
+        guess == 'may guess',
+    )
+
+
+@then('installer fetches {index}')
+def fetches(context, index):
+    found = {None: 'nothing', -1: 'manifest'}.get(context.index, context.index)
+    assert str(found) == index, found
