Give back the place of a request whose caller left while it waited

Cause: a request that was held for a full worker stayed in the queue after its caller had left; the worker that it was then given counted it for good (found by reading; the new rows of the dispatch table fail without the change).

--- a/apricotpin/components/dispatch/__init__.py
+++ b/apricotpin/components/dispatch/__init__.py
@@ -2,6 +2,7 @@
 
 from result import Ok, Result
 
+from apricotpin.components.dispatch.beliefs import Beliefs
 from apricotpin.components.dispatch.const import IDLE_CHECK_S, MAILBOX_SIZE
 from apricotpin.components.dispatch.service import (
     CloseIdleConnections,
@@ -20,18 +21,20 @@
     """Register the dispatch service."""
     state = DispatchState(settings.data_centre, settings.bounds)
     service = DispatchService(kernel, state)
+    beliefs = Beliefs(state)
     kernel.register(
         SERVICE_DISPATCH,
         {
-            desired.DesiredStateChanged: service.change_state,
-            desired.ModelVersionChanged: service.change_version,
+            desired.DesiredStateChanged: beliefs.change_state,
+            desired.ModelVersionChanged: beliefs.change_version,
             upstreams.UpstreamListed: service.list_upstream,
             upstreams.UpstreamUnlisted: service.unlist_upstream,
             fleet.LoadReport: service.take_report,
-            fleet.EntryHostsChanged: service.count_hosts,
-            upstreams.NoteRequest: service.note_request,
+            fleet.EntryHostsChanged: beliefs.count_hosts,
+            upstreams.NoteRequest: beliefs.note_request,
             upstreams.PickUpstream: service.pick,
             upstreams.AttemptDone: service.end_attempt,
+            upstreams.CancelPick: service.cancel_pick,
             ExpireWaiters: service.expire_waiters,
             CloseIdleConnections: service.close_idle,
         },
--- /dev/null
+++ b/apricotpin/components/dispatch/beliefs.py
@@ -0,0 +1,59 @@
+"""Take what other services announce into the state of dispatch."""
+
+import time
+
+from apricotpin.components.dispatch import decisions
+from apricotpin.components.dispatch.state import DispatchState
+from apricotpin.core import Reply
+from apricotpin.messages import desired, fleet, upstreams
+
+
+class Beliefs:
+    """Keep services, versions and counts up to date; no message is sent."""
+
+    __slots__ = ('_state',)
+
+    def __init__(self, state: DispatchState) -> None:
+        self._state = state
+
+    def change_state(
+        self,
+        message: desired.DesiredStateChanged,
+        reply: Reply,
+    ) -> None:
+        """Take the services of a desired state."""
+        services = message.state.services
+        self._state.services = {spec.name: spec for spec in services}
+        reply.ok()
+
+    def change_version(
+        self,
+        message: desired.ModelVersionChanged,
+        reply: Reply,
+    ) -> None:
+        """Take a declared version; one of unknown age counts as old."""
+        age_s = message.known_for_s
+        if age_s < 0:
+            age_s = self._state.bounds.version_s
+        declared = self._state.targets.setdefault(message.target.model, {})
+        declared[message.target.version] = time.monotonic() - age_s
+        reply.ok()
+
+    def count_hosts(
+        self,
+        message: fleet.EntryHostsChanged,
+        reply: Reply,
+    ) -> None:
+        """Share the retry budget with the other entry hosts."""
+        self._state.entry_hosts = len(message.hosts)
+        reply.ok()
+
+    def note_request(
+        self,
+        message: upstreams.NoteRequest,
+        reply: Reply,
+    ) -> None:
+        """Count a request of a caller."""
+        window = self._state.window(message.service)
+        decisions.note_arrival(window, False, time.monotonic())
+        reply.ok()
--- a/apricotpin/components/dispatch/service.py
+++ b/apricotpin/components/dispatch/service.py
@@ -23,7 +23,7 @@
 from apricotpin.helpers.backoff import jittered_pause
 from apricotpin.helpers.exchange import Verdict
 from apricotpin.helpers.metrics import count, count_retry
-from apricotpin.messages import desired, fleet, upstreams
+from apricotpin.messages import fleet, upstreams
 
 
 class CloseIdleConnections:
@@ -47,29 +47,6 @@
             random.random,
         )
 
-    def change_state(
-        self,
-        message: desired.DesiredStateChanged,
-        reply: Reply,
-    ) -> None:
-        """Take the services of a desired state."""
-        services = message.state.services
-        self._state.services = {spec.name: spec for spec in services}
-        reply.ok()
-
-    def change_version(
-        self,
-        message: desired.ModelVersionChanged,
-        reply: Reply,
-    ) -> None:
-        """Take a declared version; one of unknown age counts as old."""
-        age_s = message.known_for_s
-        if age_s < 0:
-            age_s = self._state.bounds.version_s
-        declared = self._state.targets.setdefault(message.target.model, {})
-        declared[message.target.version] = time.monotonic() - age_s
-        reply.ok()
-
     def list_upstream(
         self,
         message: upstreams.UpstreamListed,
@@ -108,25 +85,6 @@
         self._serve_waiters()
         reply.ok()
 
-    def count_hosts(
-        self,
-        message: fleet.EntryHostsChanged,
-        reply: Reply,
-    ) -> None:
-        """Share the retry budget with the other entry hosts."""
-        self._state.entry_hosts = len(message.hosts)
-        reply.ok()
-
-    def note_request(
-        self,
-        message: upstreams.NoteRequest,
-        reply: Reply,
-    ) -> None:
-        """Count a request of a caller."""
-        window = self._state.window(message.service)
-        decisions.note_arrival(window, False, time.monotonic())
-        reply.ok()
-
     def pick(self, message: upstreams.PickUpstream, reply: Reply) -> None:
         """Answer with an upstream, or wait for one as long as allowed."""
         outcome = self._pick(message)
@@ -162,13 +120,12 @@
         reply: Reply,
     ) -> None:
         """Take back an upstream and keep its connection."""
-        upstream = self._state.upstreams.get(message.instance_id)
+        upstream = self._state.release(message.ticket)
         if upstream is None:
             connections.close(message.connection)
             reply.ok()
             return
         now_s = time.monotonic()
-        upstream.own = max(0, upstream.own - 1)
         verdict = Verdict(message.verdict)
         decisions.note_verdict(upstream, verdict, now_s, self._rest_s)
         if verdict is Verdict.MISDIRECTED:
@@ -178,6 +135,21 @@
         self._serve_waiters()
         reply.ok()
 
+    def cancel_pick(
+        self,
+        message: upstreams.CancelPick,
+        reply: Reply,
+    ) -> None:
+        """Forget a question, and take back the upstream if it was answered."""
+        self._waiters = [
+            waiter
+            for waiter in self._waiters
+            if waiter.message.ticket != message.ticket
+        ]
+        self._state.release(message.ticket)
+        self._serve_waiters()
+        reply.ok()
+
     def close_idle(self, _message: CloseIdleConnections, reply: Reply) -> None:
         """Close the connections that may not be used again."""
         now_s = time.monotonic()
@@ -206,11 +178,18 @@
         if chosen.is_ok() and retries:
             decisions.note_arrival(window, True, now_s)
             count_retry(self._kernel, message.retry_reason)
-        return chosen.map(lambda upstream: self._take(upstream, now_s))
+        return chosen.map(
+            lambda upstream: self._take(upstream, message.ticket, now_s),
+        )
 
-    def _take(self, upstream: Upstream, now_s: float) -> upstreams.Picked:
+    def _take(
+        self,
+        upstream: Upstream,
+        ticket: str,
+        now_s: float,
+    ) -> upstreams.Picked:
         load = decisions.load_of(upstream, now_s)
-        upstream.own += 1
+        self._state.take(ticket, upstream)
         connection = connections.take(upstream.idle, now_s)
         if connection is None:
             count(self._kernel, 'upstream_connections_total')
@@ -221,6 +200,7 @@
             0 if upstream.report is None else upstream.report.version,
             load,
             now_s - upstream.reported_s,
+            ticket,
         )
 
     def _serve_waiters(self) -> None:
--- a/apricotpin/components/dispatch/state.py
+++ b/apricotpin/components/dispatch/state.py
@@ -72,6 +72,7 @@
         'services',
         'targets',
         'upstreams',
+        '_picked',
         '_windows',
     )
 
@@ -84,7 +85,21 @@
         self.targets: dict[str, dict[int, float]] = {}
         self.upstreams: dict[str, Upstream] = {}
         self._windows: dict[str, Window] = {}
+        # Upstreams by the tickets of attempts in progress.
+        self._picked: dict[str, Upstream] = {}
 
     def window(self, service: str) -> Window:
         """Return the counts of a service."""
         return self._windows.setdefault(service, Window())
+
+    def take(self, ticket: str, upstream: Upstream) -> None:
+        """Count an attempt at an upstream."""
+        upstream.own += 1
+        self._picked[ticket] = upstream
+
+    def release(self, ticket: str) -> Upstream | None:
+        """Take an attempt back; return its upstream if it had one."""
+        upstream = self._picked.pop(ticket, None)
+        if upstream is not None:
+            upstream.own -= 1
+        return upstream
--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -1,6 +1,7 @@
 """One attempt: send a request to an upstream and read its answer."""
 
 import time
+import uuid
 from typing import Any, Final
 
 from loguru import logger
@@ -10,7 +11,7 @@
 from apricotpin.components.gateway.events import EventSplitter
 from apricotpin.const import SERVICE_DISPATCH
 from apricotpin.core import Kernel
-from apricotpin.errors import Failure
+from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.exchange import Exchange, Verdict, connect
 from apricotpin.messages.calls import (
     AnswerHead,
@@ -20,7 +21,12 @@
     Resolved,
 )
 from apricotpin.messages.desired import RouteKind
-from apricotpin.messages.upstreams import AttemptDone, PickUpstream, Picked
+from apricotpin.messages.upstreams import (
+    AttemptDone,
+    CancelPick,
+    PickUpstream,
+    Picked,
+)
 
 # A load that was never reported is shown with this age.
 _AGE_SHOWN_S: Final = 99.0
@@ -93,7 +99,9 @@
     now_s = time.monotonic()
     progress = job.progress
     hold_s = decisions.hold_s(progress, now_s)
+    ticket = uuid.uuid4().hex
     wanted = PickUpstream(
+        ticket,
         job.resolved.service,
         job.resolved.priority,
         hold_s,
@@ -101,9 +109,16 @@
         progress.retry_reason,
         decisions.is_resumed(progress),
     )
-    picked = job.kernel.call(SERVICE_DISPATCH, wanted, hold_s + 1)
+    try:
+        picked = job.kernel.call(SERVICE_DISPATCH, wanted, hold_s + 1)
+    except BaseException:
+        # The caller has left while the request was waiting.
+        job.kernel.send(SERVICE_DISPATCH, CancelPick(ticket))
+        raise
     if picked.is_ok():
         _log_pick(job, picked.ok_value, now_s)
+    elif picked.err_value.kind is ErrorKind.TIMEOUT:
+        job.kernel.send(SERVICE_DISPATCH, CancelPick(ticket))
     return picked
 
 
@@ -154,6 +169,7 @@
     job.kernel.send(
         SERVICE_DISPATCH,
         AttemptDone(
+            attempt.picked.ticket,
             attempt.picked.instance_id,
             verdict.value,
             connection,
--- a/apricotpin/messages/upstreams.py
+++ b/apricotpin/messages/upstreams.py
@@ -73,7 +73,8 @@
 class PickUpstream:
     """Ask for an upstream of a service for one attempt.
 
-    tried holds the instances that the request was sent to before. The retry
+    The ticket names the attempt in later messages. tried holds the instances
+    that the request was sent to before. The retry
     reason is empty for the first attempt; any other draws on the budget.
     A request is urgent that goes on where another worker broke off.
     While all workers are full, the answer waits for hold_s at most. It is
@@ -85,12 +86,14 @@
         'priority',
         'retry_reason',
         'service',
+        'ticket',
         'tried',
         'urgent',
     )
 
     def __init__(
         self,
+        ticket: str,
         service: str,
         priority: int,
         hold_s: float = 0,
@@ -98,6 +101,7 @@
         retry_reason: str = '',
         urgent: bool = False,
     ) -> None:
+        self.ticket = ticket
         self.urgent = urgent
         self.service = service
         self.priority = priority
@@ -118,6 +122,7 @@
         'instance_id',
         'load',
         'load_age_s',
+        'ticket',
         'version',
     )
 
@@ -129,7 +134,9 @@
         version: int,
         load: int,
         load_age_s: float,
+        ticket: str,
     ) -> None:
+        self.ticket = ticket
         self.instance_id = instance_id
         self.address = address
         self.connection = connection
@@ -144,15 +151,17 @@
     verdict is the name of how the attempt ended.
     """
 
-    __slots__ = ('connection', 'idle_s', 'instance_id', 'verdict')
+    __slots__ = ('connection', 'idle_s', 'instance_id', 'ticket', 'verdict')
 
     def __init__(
         self,
+        ticket: str,
         instance_id: str,
         verdict: str,
         connection: Any = None,
         idle_s: float | None = None,
     ) -> None:
+        self.ticket = ticket
         self.instance_id = instance_id
         self.verdict = verdict
         self.connection = connection
@@ -160,6 +169,15 @@
         self.idle_s = idle_s
 
 
+class CancelPick:
+    """Withdraw a question whose asker is gone, answered or not."""
+
+    __slots__ = ('ticket',)
+
+    def __init__(self, ticket: str) -> None:
+        self.ticket = ticket
+
+
 class NoteRequest:
     """Count a request to a service, which the retry budget rests on."""
 
--- a/tests/components/dispatch/choice.feature
+++ b/tests/components/dispatch/choice.feature
@@ -83,3 +83,15 @@
       | caller_left                  | free    |
       | upstream_error               | free    |
       | reset_before_answer, answered | resting |
+
+  Scenario Outline: a request whose caller leaves <when> holds no place afterwards
+    Given dispatch serves one worker with room for 1 request
+    When dispatch is asked by 2 requests and the caller of the <left> leaves
+    Then dispatch counts <own> requests at the worker
+    And dispatch answers the next request <answer>
+
+    Examples:
+      | when                   | left   | own | answer      |
+      | while it waits         | second | 1   | overloaded  |
+      | with its answer unread | first  | 1   | overloaded  |
+      | before either ends     | both   | 0   | with a worker |
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -1,16 +1,25 @@
 """Steps for the choice of an upstream and the retry budget."""
 
 import random
+import time
 
 from behave import given, then, when
+from gevent.event import AsyncResult
 
 from apricotpin.components.dispatch import decisions
+from apricotpin.components.dispatch.service import DispatchService
 from apricotpin.components.dispatch.state import DispatchState, Upstream, Window
+from apricotpin.core import Kernel, Reply
 from apricotpin.helpers.exchange import Verdict
 from apricotpin.host_settings import Bounds
 from apricotpin.messages.desired import Engine, ServiceSpec
 from apricotpin.messages.fleet import LoadReport
-from apricotpin.messages.upstreams import LoadedLayers, UpstreamEntry
+from apricotpin.messages.upstreams import (
+    CancelPick,
+    LoadedLayers,
+    PickUpstream,
+    UpstreamEntry,
+)
 
 _NOW_S = 1000.0
 _BOUNDS = Bounds(2, 3, 2, 8, 102, 0.2, 10, 8)
@@ -201,3 +210,44 @@
 def worker_is(context, state):
     room = decisions.has_room(context.upstream, True, _NOW_S)
     assert room == (state == 'free')
+
+
+def _ask(service, ticket, hold_s):
+    waiter = AsyncResult()
+    message = PickUpstream(ticket, 'drafting', 1, hold_s)
+    service.pick(message, Reply(waiter))
+    return waiter
+
+
+@given('dispatch serves one worker with room for {count:d} request')
+def one_place(context, count):
+    context.state = make_state()
+    upstream = _upstream('0', 'idle')
+    # All but this many of its 18 places are taken by others.
+    upstream.reported_s = time.monotonic()
+    upstream.others = 18 - count
+    context.state.upstreams = {'0': upstream}
+    context.service = DispatchService(Kernel('entry'), context.state)
+
+
+@when('dispatch is asked by 2 requests and the caller of the {left} leaves')
+def leaves(context, left):
+    _ask(context.service, 'first', 0)
+    _ask(context.service, 'second', 5)
+    tickets = ['first', 'second'] if left == 'both' else [left]
+    for ticket in tickets:
+        context.service.cancel_pick(CancelPick(ticket), Reply())
+
+
+@then('dispatch counts {own:d} requests at the worker')
+def counts(context, own):
+    assert context.state.upstreams['0'].own == own
+
+
+@then('dispatch answers the next request {answer}')
+def next_answer(context, answer):
+    picked = _ask(context.service, 'third', 0).get(timeout=1)
+    kind = 'with a worker'
+    if picked.is_err():
+        kind = picked.err_value.kind.value
+    assert kind == answer, kind
--- a/tests/steps/platform_fleet_steps.py
+++ b/tests/steps/platform_fleet_steps.py
@@ -175,26 +175,21 @@
 
 @then("platform's log names the worker, load and outcome of the request")
 def explained(context):
-    wait_for(
-        lambda: 'id=req-1' in context.fleet.output('edge-1'),
-        2,
-    )
-    output = context.fleet.output('edge-1')
-    picked = [
-        line
-        for line in log_lines(output, 'upstream_picked')
-        if line['id'] == 'req-1'
-    ]
+    # The line that ends a request is written after the answer is sent.
+    wait_for(lambda: _lines_of(context, 'request_ended'), 2)
+    picked = _lines_of(context, 'upstream_picked')
     assert picked[0]['instance'] in context.fleet.workers, picked
     assert picked[0]['load'].isdigit(), picked
-    ended = [
-        line
-        for line in log_lines(output, 'request_ended')
-        if line['id'] == 'req-1'
-    ]
+    ended = _lines_of(context, 'request_ended')
     assert ended[0]['outcome'] == 'answered', ended
 
 
+def _lines_of(context, event):
+    output = context.fleet.output('edge-1')
+    lines = log_lines(output, event)
+    return [line for line in lines if line['id'] == 'req-1']
+
+
 @then("platform's entry host has no child process")
 def no_child(context):
     pid = context.fleet.processes['edge-1'].pid
