--- a/tests/commands/config.feature
+++ b/tests/commands/config.feature
@@ -39,6 +39,8 @@
       | rollout start --help                        | 0    | Example: apricotpin rollout start |
       | rollout status --help                       | 0    | Example: apricotpin rollout status |
       | status --help                               | 0    | Example: apricotpin status |
+      | explain --help                              | 0    | Example: apricotpin explain |
+      | explain a1 /nowhere                         | 1    | error=unreadable   |
 
   Scenario Outline: commands publish through a log with faults
     # Guards against a repeated append that is accepted twice or taken for a
