Refuse a body with a length and chunks, and a large head with 431

Cause: the server library drops a Content-Length beside Transfer-Encoding before the check saw it (a new row of fleet.feature was red). Removes fields and constants that nothing used; one function reads whole bodies.

--- a/apricotpin/components/dispatch/const.py
+++ b/apricotpin/components/dispatch/const.py
@@ -41,7 +41,4 @@
 IDLE_CHECK_S: Final = 0.5
 # Requests that may wait here for a worker at the same time.
 WAITERS_MAX: Final = 256
-# When to come back: to full workers, and to workers without weights.
-COME_BACK_FULL_S: Final = 0.4
-COME_BACK_EMPTY_S: Final = 1.5
 MAILBOX_SIZE: Final = 4096
--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -5,7 +5,7 @@
 from typing import Any, Final
 
 from loguru import logger
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from apricotpin.components.gateway import const, decisions
 from apricotpin.components.gateway.events import EventSplitter
@@ -148,6 +148,8 @@
         if not part.ok_value:
             return Ok(splitter.take_rest())
         whole = splitter.take(part.ok_value)
+        if splitter.held_bytes > const.EVENT_MAX_BYTES:
+            return Err(Verdict.TOO_LARGE)
         if whole:
             job.progress.last_event_id = (
                 splitter.last_id or job.progress.last_event_id
@@ -214,7 +216,6 @@
         job.resolved.tenant,
         job.progress.deadline_s - time.monotonic(),
         job.progress.last_event_id,
-        None,
     )
     return job.codec.encode_request(job.head, handover, job.body)
 
--- a/apricotpin/components/gateway/callers.py
+++ b/apricotpin/components/gateway/callers.py
@@ -15,7 +15,7 @@
 )
 from apricotpin.const import SERVICE_GATEWAY
 from apricotpin.core import Kernel
-from apricotpin.errors import ErrorKind, Failure
+from apricotpin.errors import ErrorKind, Failure, answer_for
 from apricotpin.messages.calls import Headers
 from apricotpin.messages.desired import CallerLimits
 
@@ -32,6 +32,10 @@
     """End the greenlet of a request whose caller has left."""
 
 
+class HeadTooLarge(ValueError):
+    """Say that a head is larger than the limit in force."""
+
+
 class RawCall:
     """Hold a request as it came, with its body still unread."""
 
@@ -108,17 +112,21 @@
         self.socket.settimeout(self._limits.head_s)
         return line
 
-    def read_request(self, raw_requestline: str) -> Any:
-        """Refuse heads that two readers could understand differently."""
-        accepted = super().read_request(raw_requestline)
-        names = [name.lower() for name, _ in self.headers.items()]
+    # The library fixes this name.
+    def MessageClass(self, *args: Any) -> Any:  # noqa: N802
+        """Refuse heads that two readers could understand differently.
+
+        The server drops a length beside chunks before anyone else sees it.
+        """
+        headers = super().MessageClass(*args)
+        names = [name.lower() for name, _ in headers.items()]
         lengths = names.count('content-length')
         chunked = names.count('transfer-encoding')
         if lengths > 1 or chunked > 1 or (lengths and chunked):
             raise ValueError('the length of the body is ambiguous')
-        if len(str(self.headers)) > self._limits.head_bytes:
-            raise ValueError('the head is too large')
-        return accepted
+        if len(str(headers)) > self._limits.head_bytes:
+            raise HeadTooLarge('the head is too large')
+        return headers
 
     def get_environ(self) -> dict[str, Any]:
         """Add the request as it came, which the environ does not keep."""
@@ -140,6 +148,14 @@
             return
         super().handle_error(kind, error, trace)
 
+    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        if not isinstance(ex, HeadTooLarge):
+            return super()._handle_client_error(ex)
+        status = answer_for(ErrorKind.HEAD_TOO_LARGE).http_status
+        head = f'HTTP/1.1 {int(status)} {status.phrase}\r\n'
+        closing = 'Connection: close\r\nContent-Length: 0\r\n\r\n'
+        return str(int(status)), f'{head}{closing}'.encode()
+
 
 def watch_caller(connection: socket.socket, request: Any) -> None:
     """End a request when its caller closes the connection."""
--- a/apricotpin/components/gateway/const.py
+++ b/apricotpin/components/gateway/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-# What pywsgi accepts as a request line.
+# Below the descriptors of a host, less those for files and upstreams.
 CONNECTIONS_MAX: Final = 3500
 MAILBOX_SIZE: Final = 4096
 # Limits until a desired state names others.
--- a/apricotpin/helpers/exchange.py
+++ b/apricotpin/helpers/exchange.py
@@ -104,18 +104,14 @@
         return Ok(part)
 
     def read_body(self, limit_bytes: int) -> Result[bytes, Verdict]:
-        """Return the whole body of at most limit_bytes."""
-        body = bytearray()
-        while True:
-            part = self.read_part()
-            if part.is_err():
-                return part
-            if not part.ok_value:
-                break
-            body += part.ok_value
-            if len(body) > limit_bytes:
-                return Err(Verdict.TOO_LARGE)
-        return Ok(bytes(body)) if self.parser.whole else Err(Verdict.TRUNCATED)
+        """Return the whole body of at most limit_bytes.
+
+        One that ends with its connection may be truncated and is refused.
+        """
+        body = self.read_all(limit_bytes)
+        if body.is_ok() and not self.parser.whole:
+            return Err(Verdict.TRUNCATED)
+        return body
 
     def read_all(self, limit_bytes: int) -> Result[bytes, Verdict]:
         """Return the whole body, also one that ends with its connection."""
--- a/apricotpin/messages/calls.py
+++ b/apricotpin/messages/calls.py
@@ -59,8 +59,6 @@
         'instance_id',
         'last_event_id',
         'left_s',
-        'path_spec',
-        'priority',
         'tenant',
     )
 
@@ -70,14 +68,11 @@
         tenant: str,
         left_s: float,
         last_event_id: str,
-        priority: int | None,
     ) -> None:
         self.instance_id = instance_id
         self.tenant = tenant
         self.left_s = left_s
         self.last_event_id = last_event_id
-        self.priority = priority
-        self.path_spec = ''
 
 
 class AnswerHead:
--- a/apricotpin/platform/call_codec.py
+++ b/apricotpin/platform/call_codec.py
@@ -107,8 +107,6 @@
         lines.append(f'{names.HEADER_TENANT}: {handover.tenant}')
     if handover.last_event_id:
         lines.append(f'{names.HEADER_LAST_EVENT_ID}: {handover.last_event_id}')
-    if handover.priority is not None:
-        lines.append(f'{names.HEADER_PRIORITY}: {handover.priority}')
     if body or head.method in {'POST', 'PUT', 'PATCH'}:
         lines.append(f'Content-Length: {len(body)}')
     text = '\r\n'.join(lines)
--- a/apricotpin/platform/names.py
+++ b/apricotpin/platform/names.py
@@ -17,7 +17,6 @@
 HEADER_RETRY_AFTER: Final = 'Retry-After'
 AUTHORIZATION_SCHEME: Final = 'Token '
 
-PATH_READY: Final = '/readyz'
 PATH_REPORT: Final = '/report'
 PATH_ORDER: Final = '/order'
 PATH_MANIFEST: Final = '/manifest/{model}?version={version}'
--- a/tests/platform/fleet.feature
+++ b/tests/platform/fleet.feature
@@ -26,6 +26,19 @@
       | POST   | /stream/1 | key-1 | answers      | 200    | 1    |
       | POST   | /stream/1 | key-1 | broken_stream | 200   | 2    |
 
+  Scenario Outline: a request with <fault> is refused with <status>
+    Given a platform fleet with 1 workers
+    When platform receives raw bytes with <fault>
+    Then platform's raw answer is <status>
+    And platform's workers ran it 0 times
+
+    Examples:
+      | fault                 | status |
+      | a head of 20000 bytes | 431    |
+      | two lengths           | 400    |
+      | a length and chunks   | 400    |
+      | a body of 5000000 bytes | 413  |
+
   Scenario Outline: an entry host that the store <away> serves on
     Given a platform fleet with 2 workers
     When platform's store meets the fault <away>
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -20,7 +20,7 @@
 ROOT = pathlib.Path(__file__).parent.parent
 READY_S = 15.0
 _POLL_S = 0.05
-_BOUNDS = {
+BOUNDS = {
     'config_apply_ms': 2000,
     'contact_ms': 3000,
     'drain_ms': 2000,
@@ -132,7 +132,7 @@
             'listen': {'frontend': f'{ip}:8005', 'ready': f'{ip}:8002'},
             'internal_ports': [7700, 7715],
             'platform': {'address': self.store_address},
-            'bounds': _BOUNDS,
+            'bounds': BOUNDS,
             'app': f'{ip}:8001',
             'service': 'drafting',
         }
--- a/tests/steps/platform_fleet_steps.py
+++ b/tests/steps/platform_fleet_steps.py
@@ -3,8 +3,8 @@
 import os
 import subprocess
 
-import gevent
 from behave import given, then, when
+from gevent import sleep, socket, spawn
 
 from tests.platform_fleet import (
     Fleet,
@@ -62,7 +62,7 @@
     waiting = list(fleet.workers.values())
     for worker in waiting:
         worker.seen.clear()
-    watcher = gevent.spawn(_clear_after_first, waiting)
+    watcher = spawn(_clear_after_first, waiting)
     context.answer = send(context.ip, path, 'req-1', key, method)
     watcher.kill()
 
@@ -70,7 +70,7 @@
 def _clear_after_first(workers):
     # Only the first worker that is asked fails.
     while not any(worker.seen for worker in workers):
-        gevent.sleep(0.001)
+        sleep(0.001)
     for worker in workers:
         worker.fault = ''
 
@@ -96,7 +96,7 @@
 @when("platform's store meets the fault {mode}")
 def store_away(context, mode):
     context.fleet.store.mode = mode
-    gevent.sleep(1)
+    sleep(1)
 
 
 @when("platform's store turns the second entry host away")
@@ -148,14 +148,14 @@
 
 @then("platform's new worker was ordered once")
 def ordered_once(context):
-    gevent.sleep(1)
+    sleep(1)
     assert len(context.new_worker.orders) == 1, context.new_worker.orders
 
 
 @when("platform's entry host is stopped during a stream")
 def stop_in_stream(context):
-    reading = gevent.spawn(send, context.ip, '/stream/1', 'req-1')
-    gevent.sleep(0.1)
+    reading = spawn(send, context.ip, '/stream/1', 'req-1')
+    sleep(0.1)
     context.fleet.stop('edge-1')
     context.answer = reading.get(timeout=8)
 
@@ -199,3 +199,41 @@
         check=False,
     )
     assert not found.stdout.strip(), found.stdout
+
+
+_HEAD = (
+    'POST /order/1 HTTP/1.1\r\nHost: fleet.test\r\nX-Attempt-Id: req-1\r\n'
+    'Authorization: Token key-1\r\n'
+)
+_RAW = {
+    'a head of 20000 bytes': f'{_HEAD}X-Long: {"x" * 5000}\r\n'
+    f'X-More: {"x" * 7500}\r\nX-Most: {"x" * 7500}\r\n\r\n',
+    'two lengths': f'{_HEAD}Content-Length: 1\r\nContent-Length: 2\r\n\r\nab',
+    'a length and chunks': f'{_HEAD}Content-Length: 5\r\n'
+    'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+    'a body of 5000000 bytes': f'{_HEAD}Content-Length: 5000000\r\n\r\n'
+    f'{"x" * 5000000}',
+}
+
+
+@when('platform receives raw bytes with {fault}')
+def receive_raw(context, fault):
+    with socket.create_connection((context.ip, 8005), timeout=5) as caller:
+        sender = spawn(_send_raw, caller, _RAW[fault].encode())
+        context.raw_answer = caller.recv(4096).decode()
+        sender.kill()
+
+
+def _send_raw(caller, content):
+    try:
+        caller.sendall(content)
+    except OSError:
+        # The entry host closes the connection of a refused body.
+        return
+
+
+@then("platform's raw answer is {status:d}")
+def raw_answer(context, status):
+    assert context.raw_answer.startswith(f'HTTP/1.1 {status} '), (
+        context.raw_answer
+    )
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -13,6 +13,7 @@
 from apricotpin.platform.operator_documents import operator_entry
 from apricotpin.platform.settings_file import read_settings
 from apricotpin.platform.worker_documents import upstream_entry
+from tests.platform_fleet import BOUNDS
 
 _WORKER = {
     'service': 'drafting',
@@ -39,16 +40,6 @@
     ],
     'services': [{'name': 'drafting'}],
 }
-_BOUNDS = {
-    'config_apply_ms': 2000,
-    'contact_ms': 3000,
-    'drain_ms': 2000,
-    'grace_s': 8,
-    'retry_allowance': 102,
-    'retry_budget_ratio': 0.2,
-    'retry_window_s': 10,
-    'version_ms': 8000,
-}
 _SETTINGS = {
     'node_name': 'edge-1',
     'machine_class': 'edge',
@@ -59,7 +50,7 @@
     'listen': {'frontend': '10.0.0.2:80', 'ready': '10.0.0.2:81'},
     'internal_ports': [7700, 7715],
     'platform': {'address': '10.9.9.9:80'},
-    'bounds': _BOUNDS,
+    'bounds': BOUNDS,
 }
 
 
@@ -148,7 +139,7 @@
 
 def _pass_on(headers):
     head = call_codec.decode_request('POST', '/a/b?c', headers).ok_value
-    handover = Handover('worker-1', 'tenant-1', 1.5, '7', None)
+    handover = Handover('worker-1', 'tenant-1', 1.5, '7')
     return call_codec.encode_request(head, handover, b'body').decode()
 
 
