Keep a worker that calls a request misdirected while it changes its weights

Cause: a 421 made dispatch forget the worker until its entry was read again; with the store away that is not before its return. Ruled out: versions, which came at the same times, and the lists of workers. Only a worker that names itself differently has taken over the address.

--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -226,7 +226,11 @@
         parser.get_code(),
         list(parser.items()),
     )
-    verdict = decisions.judge_head(attempt.head, job.head.request_id)
+    verdict = decisions.judge_head(
+        attempt.head,
+        job.head.request_id,
+        attempt.picked.instance_id,
+    )
     is_stream = job.resolved.route.kind is RouteKind.STREAM
     if is_stream and verdict is Verdict.ANSWERED:
         return _begin_stream(job, attempt)
--- a/apricotpin/components/gateway/decisions.py
+++ b/apricotpin/components/gateway/decisions.py
@@ -81,10 +81,19 @@
     return started_s + allowed_s
 
 
-def judge_head(head: AnswerHead, request_id: str) -> Verdict:
-    """Say what the head of an answer tells about the attempt."""
+def judge_head(
+    head: AnswerHead,
+    request_id: str,
+    instance_id: str,
+) -> Verdict:
+    """Say what the head of an answer tells about the attempt.
+
+    A worker also calls a request misdirected while it changes its weights;
+    only one that names itself differently has taken over the address.
+    """
     if head.misdirected:
-        return Verdict.MISDIRECTED
+        replaced = head.answered_by not in {'', instance_id}
+        return Verdict.MISDIRECTED if replaced else Verdict.BUSY
     if head.not_run:
         return Verdict.BUSY
     if head.request_id != request_id:
--- a/apricotpin/messages/calls.py
+++ b/apricotpin/messages/calls.py
@@ -80,10 +80,12 @@
 
     not_run holds where the upstream says that it did not run the request;
     sealed where the answer bears the upstream's own mark; idle_s is how long
-    the connection may stay idle, None where that was not said.
+    the connection may stay idle, None where that was not said. answered_by is
+    the instance that names itself in the answer, empty if none does.
     """
 
     __slots__ = (
+        'answered_by',
         'encoded_body',
         'headers',
         'idle_s',
@@ -104,7 +106,9 @@
         misdirected: bool,
         encoded_body: bool,
         idle_s: float | None,
+        answered_by: str = '',
     ) -> None:
+        self.answered_by = answered_by
         self.status = status
         self.headers = headers
         self.request_id = request_id
--- a/apricotpin/platform/call_codec.py
+++ b/apricotpin/platform/call_codec.py
@@ -129,6 +129,7 @@
         misdirected=status == _MISDIRECTED,
         encoded_body=single.get('content-encoding', 'identity') != 'identity',
         idle_s=_idle_s(single.get('keep-alive', '')),
+        answered_by=single.get(names.HEADER_INSTANCE.lower(), ''),
     )
 
 
--- a/tests/components/gateway/decisions.feature
+++ b/tests/components/gateway/decisions.feature
@@ -46,7 +46,9 @@
       | 200    | unsealed         | truncated      |
       | 200    | encoded          | truncated      |
       | 503    | not run          | upstream_busy  |
-      | 421    | misdirected      | misdirected    |
+      | 421    | misdirected by another worker | misdirected |
+      | 421    | misdirected by the same worker | upstream_busy |
+      | 421    | misdirected by nobody | upstream_busy |
 
   Scenario Outline: a refusal as <kind> with <left> s left names <back> s
     When gateway refuses as <kind> with <left> s left
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -11,6 +11,10 @@
 from tests.steps.routes_steps import make_route
 
 _NOW_S = 100.0
+_ANSWERED_BY = {
+    'misdirected by another worker': 'worker-2',
+    'misdirected by the same worker': 'worker-1',
+}
 _KINDS = {
     'idempotent': RouteKind.IDEMPOTENT,
     'non_idempotent': RouteKind.NON_IDEMPOTENT,
@@ -60,11 +64,12 @@
         'other' if described == 'of another request' else 'mine',
         sealed=described != 'unsealed',
         not_run=described == 'not run',
-        misdirected=described == 'misdirected',
+        misdirected=described.startswith('misdirected'),
         encoded_body=described == 'encoded',
         idle_s=None,
+        answered_by=_ANSWERED_BY.get(described, ''),
     )
-    context.verdict = decisions.judge_head(head, 'mine')
+    context.verdict = decisions.judge_head(head, 'mine', 'worker-1')
 
 
 @then("gateway's verdict is {verdict}")
