--- a/apricotpin/components/installer/decisions.py
+++ b/apricotpin/components/installer/decisions.py
@@ -1,11 +1,10 @@
 """Decide what an agent fetches, stages and orders, and when."""
 
 import enum
-import hashlib
 
 from apricotpin.components.installer import const
 from apricotpin.components.installer.state import Install, Known, WorkerView
-from apricotpin.helpers.hashing import rendezvous_order
+from apricotpin.helpers.hashing import matches_sha256, rendezvous_order
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages.fleet import LoadReport
 from apricotpin.messages.pieces import WorkerReport
@@ -145,9 +144,7 @@
 
 def is_sound(install: Install, index: int, content: bytes | None) -> bool:
     """Tell whether content is the piece that the manifest names."""
-    if content is None:
-        return False
-    return hashlib.sha256(content).hexdigest() == install.stock.digests[index]
+    return matches_sha256(content, install.stock.digests[index])
 
 
 def next_load(install: Install, view: WorkerView, now_s: float) -> Load:
--- a/apricotpin/components/installer/workers.py
+++ b/apricotpin/components/installer/workers.py
@@ -1,6 +1,5 @@
 """Greenlets that fetch pieces and use the worker beside this process."""
 
-import hashlib
 import types
 from collections.abc import Callable
 from typing import Final
@@ -26,6 +25,7 @@
     SERVICE_STORE,
 )
 from apricotpin.core import Kernel
+from apricotpin.helpers.hashing import matches_sha256
 from apricotpin.helpers.peer_client import PeerClient
 from apricotpin.messages.feeds import EntryHost, Feed, ReadSnapshot
 from apricotpin.messages.fleet import CountEntries, FindEntries, LoadReport
@@ -138,7 +138,7 @@
         )
         if read.is_err():
             return LoadDone(order, False, {})
-        if _matches(read.ok_value, digest):
+        if matches_sha256(read.ok_value, digest):
             found[index] = read.ok_value
     return LoadDone(order, True, found)
 
@@ -203,12 +203,6 @@
     return LoadDone(order, True, {})
 
 
-def _matches(content: bytes | None, digest: str) -> bool:
-    if content is None:
-        return False
-    return hashlib.sha256(content).hexdigest() == digest
-
-
 _ACTIONS: Final = types.MappingProxyType(
     {Load.SCAN: _scan, Load.STAGE: _stage, Load.START: _start}
 )
--- a/apricotpin/components/relay/service.py
+++ b/apricotpin/components/relay/service.py
@@ -1,6 +1,5 @@
 """Fetch pieces of weights once and pass them on to agents and relays."""
 
-import hashlib
 import json
 import time
 from collections import deque
@@ -13,6 +12,7 @@
 from apricotpin.const import SERVICE_ORIGIN, SERVICE_WEIGHTS
 from apricotpin.core import Kernel, Reply
 from apricotpin.errors import ErrorKind, Failure
+from apricotpin.helpers.hashing import matches_sha256
 from apricotpin.helpers.metrics import count
 from apricotpin.helpers.peer_client import PeerClient
 from apricotpin.messages import desired, fleet
@@ -387,7 +387,7 @@
 
 def _is_sound(holding: Holding, index: int, content: bytes) -> bool:
     if index != const.MANIFEST_INDEX:
-        return hashlib.sha256(content).hexdigest() == holding.digests[index]
+        return matches_sha256(content, holding.digests[index])
     try:
         return bool(json.loads(content)['digests'])
     except (ValueError, KeyError, TypeError):
--- a/apricotpin/helpers/hashing.py
+++ b/apricotpin/helpers/hashing.py
@@ -1,5 +1,6 @@
 """Digests and rendezvous hashing."""
 
+import hashlib
 from collections.abc import Iterable
 
 from blake3 import blake3
@@ -12,6 +13,13 @@
     return blake3(content).hexdigest()
 
 
+def matches_sha256(content: bytes | None, digest: str) -> bool:
+    """Tell whether content is there and has a SHA-256 digest."""
+    if content is None:
+        return False
+    return hashlib.sha256(content).hexdigest() == digest
+
+
 def rank_of(*parts: str) -> int:
     """Return a 64-bit number that depends on the parts alone."""
     joined = '\x00'.join(parts).encode()
--- a/apricotpin/messages/feeds.py
+++ b/apricotpin/messages/feeds.py
@@ -145,13 +145,3 @@
         self.host_id = host_id
         self.peer_address = peer_address
         self.data_centre = data_centre
-
-
-class StoreSeen:
-    """Announce whether a feed could be read just now."""
-
-    __slots__ = ('feed', 'reachable')
-
-    def __init__(self, feed: Feed, reachable: bool) -> None:
-        self.feed = feed
-        self.reachable = reachable
--- a/apricotpin/platform/settings_file.py
+++ b/apricotpin/platform/settings_file.py
@@ -50,10 +50,6 @@
             return float(found)
         raise self._fault(name, 'a number')
 
-    def optional_text(self, name: str) -> str:
-        """Return a text, empty where there is none."""
-        return self.text(name) if self._document.get(name) else ''
-
     def flag(self, name: str) -> bool:
         """Tell whether a field is true; one that is missing is not."""
         return self._document.get(name) is True
