--- a/apricotpin/bootstrap.py
+++ b/apricotpin/bootstrap.py
@@ -55,6 +55,7 @@
             const.SERVICE_METRICS,
             const.SERVICE_ADMIN,
             const.SERVICE_PLATFORM,
+            const.SERVICE_PEER_API,
             const.SERVICE_PRESENCE,
             const.SERVICE_INSTALLER,
         ),
--- a/apricotpin/components/installer/__init__.py
+++ b/apricotpin/components/installer/__init__.py
@@ -2,13 +2,22 @@
 
 from result import Ok, Result
 
-from apricotpin.components.installer import events, service, workers
-from apricotpin.components.installer.const import FETCHES
-from apricotpin.const import SERVICE_INSTALLER
+from apricotpin.components.installer import (
+    events,
+    service,
+    sharing,
+    workers,
+)
+from apricotpin.components.installer.const import (
+    FETCHES,
+    SHARING_MAILBOX_SIZE,
+)
+from apricotpin.const import SERVICE_INSTALLER, SERVICE_WEIGHTS
 from apricotpin.core import Kernel, Reply, Started
 from apricotpin.errors import Failure
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages.fleet import EntryHello
+from apricotpin.messages.weights import FetchChunk
 
 
 def setup(kernel: Kernel, settings: HostSettings) -> Result[None, Failure]:
@@ -33,6 +42,12 @@
             events.PieceFetched: installer.take_piece,
             events.NextLoad: installer.next_load,
             events.LoadDone: installer.take_load,
+            events.IsShared: installer.is_shared,
         },
     )
+    kernel.register(
+        SERVICE_WEIGHTS,
+        {FetchChunk: sharing.SharingService(kernel).fetch_chunk},
+        mailbox_size=SHARING_MAILBOX_SIZE,
+    )
     return Ok(None)
--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -18,6 +18,11 @@
 SUSPECT_S: Final = 2.0
 MANIFEST_INDEX: Final = -1
 STATUS_OK: Final = 'ok'
+STATUS_NOT_YET: Final = 'not_yet'
+# A piece of 32 KiB takes 69 ms on an agent's link of 3.8 Mbit/s; this pause
+# leaves half of it to the answers of the worker.
+SHARING_PAUSE_S: Final = 0.14
+SHARING_MAILBOX_SIZE: Final = 32
 # Requests in progress end within about this time, so new ones are sent
 # elsewhere this long before the last piece arrives.
 DRAIN_AHEAD_S: Final = 0.5
--- a/apricotpin/components/installer/decisions.py
+++ b/apricotpin/components/installer/decisions.py
@@ -3,8 +3,8 @@
 import enum
 
 from apricotpin.components.installer import const
-from apricotpin.components.installer.state import Install, Known, WorkerView
-from apricotpin.helpers.hashing import matches_sha256, rendezvous_order
+from apricotpin.components.installer.state import Install, WorkerView
+from apricotpin.helpers.hashing import matches_sha256
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages.fleet import LoadReport
 from apricotpin.messages.pieces import WorkerReport
@@ -97,27 +97,6 @@
     return next(missing, None)
 
 
-def order_entries(
-    entries: dict[str, Known],
-    own_data_centre: str,
-    key: str,
-    now_s: float,
-) -> list[str]:
-    """Return the addresses of entry hosts to fetch from, best first.
-
-    All agents of a data centre prefer the same host, so that each piece
-    reaches the data centre once.
-    """
-    names = rendezvous_order(key, entries)
-    names.sort(
-        key=lambda name: (
-            entries[name].suspect_until_s > now_s,
-            entries[name].hello.data_centre != own_data_centre,
-        ),
-    )
-    return [entries[name].hello.peer_address for name in names]
-
-
 def is_stalled(install: Install, now_s: float) -> bool:
     """Tell whether nothing of a version has come for some time."""
     if install.stock.is_complete:
@@ -201,6 +180,24 @@
     return Load.WAIT
 
 
+def shares(
+    view: WorkerView,
+    install: Install | None,
+    model: str,
+    version: int,
+) -> bool:
+    """Tell whether what is staged is the whole version that the worker runs.
+
+    A worker stages one version of a model, so pieces of a newer one replace
+    those of the version that it still runs.
+    """
+    if not is_reachable(view) or view.version != version:
+        return False
+    if install is not None and not is_installed(view, install):
+        return False
+    return any(part.model == model for part in view.report.loaded)
+
+
 def report_of(
     settings: HostSettings,
     view: WorkerView,
--- a/apricotpin/components/installer/events.py
+++ b/apricotpin/components/installer/events.py
@@ -94,7 +94,11 @@
         self.pieces = pieces
 
 
-class Tick:
-    """Look whether something that waited may go on."""
+class IsShared:
+    """Ask whether the pieces of a version are staged at the worker."""
 
-    __slots__ = ()
+    __slots__ = ('model', 'version')
+
+    def __init__(self, model: str, version: int) -> None:
+        self.model = model
+        self.version = version
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -6,7 +6,9 @@
 from loguru import logger
 
 from apricotpin.components.installer import const, decisions
+from apricotpin.components.installer.entries import Entries
 from apricotpin.components.installer.events import (
+    IsShared,
     LoadDone,
     LoadOrder,
     NextLoad,
@@ -15,7 +17,7 @@
     PieceOrder,
     ReportRead,
 )
-from apricotpin.components.installer.state import Install, Known, WorkerView
+from apricotpin.components.installer.state import Install, WorkerView
 from apricotpin.const import SERVICE_PRESENCE
 from apricotpin.core import Kernel, Reply
 from apricotpin.host_settings import HostSettings
@@ -45,7 +47,7 @@
     def __init__(self, kernel: Kernel, settings: HostSettings) -> None:
         self._kernel = kernel
         self._settings = settings
-        self._entries: dict[str, Known] = {}
+        self._entries = Entries(settings.data_centre)
         self._view = WorkerView()
         self._install: Install | None = None
         # Versions that were begun and not finished.
@@ -56,12 +58,7 @@
     def hear_entry(self, hello: EntryHello, reply: Reply) -> None:
         """Learn of an entry host, the declared version and the turn."""
         now_s = time.monotonic()
-        known = self._entries.get(hello.host_id)
-        if known is None:
-            self._entries[hello.host_id] = Known(hello, now_s)
-        else:
-            known.hello = hello
-            known.heard_s = now_s
+        self._entries.hear(hello)
         for target in hello.targets:
             if target.service_name == self._settings.service:
                 self._take_target(target, hello, now_s)
@@ -95,7 +92,7 @@
         install.stock.fetching.discard(index)
         reply.ok()
         if message.content is None:
-            self._suspect(message.address)
+            self._entries.suspect(message.address)
         elif index == const.MANIFEST_INDEX:
             self._take_manifest(install, message.content)
         elif decisions.is_sound(install, index, message.content):
@@ -130,6 +127,17 @@
         reply.ok()
         self._go_on()
 
+    def is_shared(self, message: IsShared, reply: Reply) -> None:
+        """Answer whether the staged pieces are those of a version."""
+        reply.ok(
+            decisions.shares(
+                self._view,
+                self._install,
+                message.model,
+                message.version,
+            ),
+        )
+
     def own_report(self) -> LoadReport:
         """Return what entry hosts are told of the worker."""
         return decisions.report_of(
@@ -246,13 +254,6 @@
         except (ValueError, KeyError, TypeError) as error:
             logger.bind(error=repr(error)).warning('manifest_unreadable')
 
-    def _suspect(self, address: str) -> None:
-        until_s = time.monotonic() + const.SUSPECT_S
-        for known in self._entries.values():
-            if known.hello.peer_address == address:
-                known.suspect_until_s = until_s
-        logger.bind(source=address).warning('piece_not_fetched')
-
     def _go_on(self) -> None:
         install = self._install
         if install is None:
@@ -277,9 +278,7 @@
             )
             if index is None:
                 return
-            addresses = decisions.order_entries(
-                self._entries,
-                self._settings.data_centre,
+            addresses = self._entries.order(
                 f'{install.model}/{install.version}',
                 now_s,
             )
--- a/apricotpin/components/installer/state.py
+++ b/apricotpin/components/installer/state.py
@@ -1,6 +1,5 @@
 """What an agent knows of its worker and of the version to install."""
 
-from apricotpin.messages.fleet import EntryHello
 from apricotpin.messages.pieces import WorkerReport
 
 
@@ -88,14 +87,3 @@
         self.version = 0
         self.layers_start = 0
         self.layers_end = 0
-
-
-class Known:
-    """Hold an entry host and when it greeted last."""
-
-    __slots__ = ('heard_s', 'hello', 'suspect_until_s')
-
-    def __init__(self, hello: EntryHello, heard_s: float) -> None:
-        self.hello = hello
-        self.heard_s = heard_s
-        self.suspect_until_s = float('-inf')
--- a/apricotpin/components/relay/__init__.py
+++ b/apricotpin/components/relay/__init__.py
@@ -1,8 +1,10 @@
 """Pass weights on from the origin to the agents of a data centre."""
 
+import time
+
 from result import Ok, Result
 
-from apricotpin.components.relay import service
+from apricotpin.components.relay import events, service
 from apricotpin.const import SERVICE_WEIGHTS
 from apricotpin.core import Kernel
 from apricotpin.errors import Failure
@@ -19,16 +21,17 @@
         settings.peer_address,
         settings.data_centre,
     )
-    relay = service.RelayService(kernel, own)
+    relay = service.RelayService(kernel, own, time.monotonic())
     kernel.register(
         SERVICE_WEIGHTS,
         {
             desired.DesiredStateChanged: relay.change_state,
             desired.ModelVersionChanged: relay.change_version,
             fleet.EntryHostsChanged: relay.change_hosts,
+            fleet.LoadReport: relay.take_report,
             FetchChunk: relay.fetch_chunk,
-            service.NextFetch: relay.next_fetch,
-            service.Fetched: relay.take_fetched,
+            events.NextFetch: relay.next_fetch,
+            events.Fetched: relay.take_fetched,
         },
     )
     return Ok(None)
--- a/apricotpin/components/relay/decisions.py
+++ b/apricotpin/components/relay/decisions.py
@@ -1,6 +1,6 @@
 """Decide from whom an entry host fetches weights."""
 
-from apricotpin.components.relay.const import ORIGIN
+from apricotpin.components.relay.const import MANIFEST_INDEX, ORIGIN
 from apricotpin.helpers.hashing import rendezvous_order
 from apricotpin.messages.feeds import EntryHost
 
@@ -10,6 +10,7 @@
     hosts: tuple[EntryHost, ...],
     origin_data_centre: str,
     key: str,
+    agents: tuple[str, ...] = (),
 ) -> list[str]:
     """Return addresses to fetch from, best first; the origin is ''.
 
@@ -17,7 +18,8 @@
     one of each data centre from that one, and the others from their own
     data centre's. A host before this one in the order may have failed, so
     the origin follows, and after it the hosts that may hold what the origin
-    no longer delivers.
+    no longer delivers. Agents of the data centre whose workers hold the
+    weights come before other data centres, whose links all traffic shares.
     """
     chain = chain_of(hosts, origin_data_centre, key)
     near = [host for host in chain if host.data_centre == own.data_centre]
@@ -28,6 +30,7 @@
     at_root = at_origin or chain
     before_root = _before(own, at_root)
     order = [host.peer_address for host in before_near]
+    order.extend(agents)
     order.extend(
         host.peer_address
         for host in before_root
@@ -41,6 +44,17 @@
     return [*order, ORIGIN, *others]
 
 
+def share_out(agents: tuple[str, ...], index: int) -> tuple[str, ...]:
+    """Return the agents to ask for a piece, a different one for the next.
+
+    They hold pieces only, so none is asked for the manifest.
+    """
+    if index == MANIFEST_INDEX or not agents:
+        return ()
+    first = index % len(agents)
+    return agents[first:] + agents[:first]
+
+
 def may_wait(sources: list[str], source: str) -> bool:
     """Tell whether a source fetches for this host what it does not hold.
 
--- /dev/null
+++ b/apricotpin/components/relay/sources.py
@@ -0,0 +1,101 @@
+"""Where the origin, the entry hosts and the agents with weights are."""
+
+import time
+
+from loguru import logger
+
+from apricotpin.components.relay import const, decisions
+from apricotpin.components.relay.events import Fetch
+from apricotpin.components.relay.holders import Holders
+from apricotpin.components.relay.state import Holding
+from apricotpin.errors import Failure
+from apricotpin.messages.desired import DesiredState, ModelVersion
+from apricotpin.messages.feeds import EntryHost
+from apricotpin.messages.fleet import LoadReport
+
+
+class Sources:
+    """Hold who may be asked for weights, and who failed lately."""
+
+    __slots__ = (
+        'hosts',
+        '_holders',
+        '_origin',
+        '_origin_place',
+        '_own',
+        '_suspects',
+    )
+
+    def __init__(self, own: EntryHost) -> None:
+        self.hosts: tuple[EntryHost, ...] = (own,)
+        self._own = own
+        self._origin = ''
+        self._origin_place = ''
+        self._holders = Holders(own.data_centre)
+        self._suspects: dict[str, float] = {}
+
+    def change_state(self, state: DesiredState) -> None:
+        """Learn where the origin is, and which service runs which model."""
+        self._holders.change_state(state)
+        for spec in state.services:
+            if spec.origin:
+                self._origin = spec.origin
+                self._origin_place = spec.data_centre
+
+    def take_report(
+        self,
+        report: LoadReport,
+        now_s: float,
+    ) -> ModelVersion | None:
+        """Take an agent's report; return what its worker holds whole."""
+        return self._holders.take(report, now_s)
+
+    def leads(self, target: ModelVersion) -> bool:
+        """Tell whether this host fetches a version for its data centre."""
+        key = _key(target.model, target.version)
+        chain = decisions.chain_of(self.hosts, self._origin_place, key)
+        return decisions.leads(self._own, chain)
+
+    def next_fetch(self, holding: Holding, index: int) -> Fetch:
+        """Return from whom to fetch a piece now."""
+        now_s = time.monotonic()
+        sources = self._order(holding, index, now_s)
+        source = next(
+            (one for one in sources if self._suspects.get(one, 0) < now_s),
+            sources[0],
+        )
+        wait_ms = 0
+        if decisions.may_wait(sources, source):
+            wait_ms = const.FETCH_WAIT_MS
+        return Fetch(index, source, self._origin, wait_ms)
+
+    def suspect(self, source: str, failure: Failure) -> None:
+        """Ask others first for some time."""
+        now_s = time.monotonic()
+        known = self._suspects.get(source, 0) > now_s
+        self._suspects[source] = now_s + const.SUSPECT_S
+        if known:
+            return
+        logger.bind(
+            source=source or 'origin',
+            error=repr(failure),
+        ).warning('piece_not_fetched')
+
+    def _order(
+        self,
+        holding: Holding,
+        index: int,
+        now_s: float,
+    ) -> list[str]:
+        agents = self._holders.of_version(holding.model, holding.version, now_s)
+        return decisions.sources_of(
+            self._own,
+            self.hosts,
+            self._origin_place,
+            _key(holding.model, holding.version),
+            decisions.share_out(agents, index),
+        )
+
+
+def _key(model: str, version: int) -> str:
+    return f'{model}/{version}'
--- /dev/null
+++ b/apricotpin/components/relay/state.py
@@ -0,0 +1,38 @@
+"""What a relay holds of one version."""
+
+import time
+from collections import deque
+
+from apricotpin.components.relay import const
+from apricotpin.core import Reply
+
+
+class Holding:
+    """Hold what is known of one version of a model's weights."""
+
+    __slots__ = (
+        'bad',
+        'content',
+        'digests',
+        'eager',
+        'idle_workers',
+        'model',
+        'started_s',
+        'version',
+        'waiting',
+        'wanted',
+    )
+
+    def __init__(self, model: str, version: int) -> None:
+        self.model = model
+        self.version = version
+        self.started_s = time.monotonic()
+        # Content by index; the manifest has the index -1.
+        self.content: dict[int, bytes] = {}
+        self.digests: list[str] = []
+        # Whether all pieces are fetched, not the manifest alone.
+        self.eager = False
+        self.wanted: deque[int] = deque([const.MANIFEST_INDEX])
+        self.waiting: dict[int, list[Reply]] = {}
+        self.idle_workers: list[Reply] = []
+        self.bad: dict[int, int] = {}
--- a/tests/components/installer/decisions.feature
+++ b/tests/components/installer/decisions.feature
@@ -90,3 +90,18 @@
       | a manifest | there | may guess   | nothing  |
       | a manifest | away  | may guess   | 0        |
       | a manifest | away  | has to wait | nothing  |
+
+  Scenario Outline: <worker> with <pieces> of 4 pieces of version 2 <shares> version <version>
+    Given installer with a worker <worker> and <pieces> of 4 pieces in turn 0
+    When installer is asked for staged pieces of version <version> of <model>
+    Then installer <shares> them
+
+    Examples:
+      # Staging a newer version replaces what was staged of the older one.
+      | worker      | pieces | version | model | shares         |
+      | installed   | 0      | 2       | m     | shares         |
+      | installed   | 0      | 1       | m     | does not share |
+      | installed   | 0      | 2       | other | does not share |
+      | older       | 1      | 1       | m     | does not share |
+      | empty       | 4      | 2       | m     | does not share |
+      | unreachable | 4      | 2       | m     | does not share |
--- a/tests/components/relay/sources.feature
+++ b/tests/components/relay/sources.feature
@@ -28,3 +28,56 @@
     Given relay with 3 hosts in each of 3 data centres
     When relay computes the sources of a host that knows only itself
     Then relay names the origin and every host for every host
+
+  Scenario Outline: <agents> agents of the data centre hold the version, host <host>
+    Given relay with 2 hosts in each of 3 data centres
+    When relay knows <agents> agents that hold piece <index> and asks for host <host>
+    Then relay asks <first> first
+
+    Examples:
+      # No link between data centres carries what the own one holds already.
+      | agents | index | host  | first      |
+      | 0      | 5     | first | other      |
+      | 2      | 4     | first | agent 0    |
+      | 2      | 5     | first | agent 1    |
+      | 2      | -1    | first | other      |
+      | 2      | 4     | last  | entry host |
+
+  Scenario Outline: an agent reports <layers> of version <version> from <place>, <age> s ago
+    Given relay knows a model of 16 layers
+    When relay hears of layers <layers> of version <version> from <place>, <worker>
+    Then relay counts <count> holders of version 1 after <age> s
+
+    Examples:
+      | layers | version | place | worker      | age | count |
+      | 0-16   | 1       | dc1   | reachable   | 0.5 | 1     |
+      | 0-16   | 1       | dc1   | reachable   | 2   | 0     |
+      | 0-8    | 1       | dc1   | reachable   | 0.5 | 0     |
+      | 4-16   | 1       | dc1   | reachable   | 0.5 | 0     |
+      | 0-16   | 2       | dc1   | reachable   | 0.5 | 0     |
+      | 0-16   | 1       | dc0   | reachable   | 0.5 | 0     |
+      | 0-16   | 1       | dc1   | unreachable | 0.5 | 0     |
+
+  Scenario Outline: a host that <role> and started <age> s ago hears of version <held>
+    Given relay with 2 hosts in each of 1 data centres
+    And relay runs on a host that <role> and started <age> s ago
+    And relay knows that version <declared> was declared long ago
+    When relay hears of an agent that holds version <held>
+    Then relay <fetches> version <held>
+
+    Examples:
+      # A copy kept by the host that hands it out serves empty workers at once.
+      | role    | age | declared | held | fetches         |
+      | leads   | 4   | 1        | 1    | fetches         |
+      | leads   | 4   | 2        | 2    | fetches         |
+      | leads   | 4   | 2        | 1    | does not fetch  |
+      | leads   | 1   | 1        | 1    | does not fetch  |
+      | follows | 4   | 1        | 1    | does not fetch  |
+
+  Scenario: a host that leads takes pieces from agents and the manifest from others
+    Given relay with 2 hosts in each of 1 data centres
+    And relay runs on a host that leads and started 4 s ago
+    And relay knows that version 1 was declared long ago
+    When relay hears of an agent that holds version 1
+    Then relay sends its worker for the manifest to the origin
+    And relay sends its worker for piece 0 to an agent
--- a/tests/steps/installer_steps.py
+++ b/tests/steps/installer_steps.py
@@ -206,3 +206,15 @@
 def fetches(context, index):
     found = {None: 'nothing', -1: 'manifest'}.get(context.index, context.index)
     assert str(found) == index, found
+
+
+@when('installer is asked for staged pieces of version {version:d} of {model}')
+def asked_for_staged(context, version, model):
+    context.shared = decisions.shares(
+        context.view, context.install, model, version
+    )
+
+
+@then('installer {shares} them')
+def shares_them(context, shares):
+    assert context.shared == (shares == 'shares')
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -1,11 +1,22 @@
 """Steps for the sources of weights on entry hosts."""
 
-from behave import given, then, when
+import json
+import time
 
-from apricotpin.components.relay import decisions
+from behave import given, then, when
+from gevent.event import AsyncResult
+from result import Ok
+
+from apricotpin.components.relay import decisions, events
+from apricotpin.components.relay.holders import Holders
+from apricotpin.components.relay.service import RelayService
+from apricotpin.core import Kernel, Reply
+from apricotpin.messages import desired
 from apricotpin.messages.feeds import EntryHost
+from apricotpin.messages.fleet import EntryHostsChanged, LoadReport
 
 _KEY = 'm/2'
+_HEARD_S = 100.0
 
 
 @given('relay with {count:d} hosts in each of {places:d} data centres')
@@ -80,3 +91,132 @@
         after = sources[sources.index('') :]
         waits = [decisions.may_wait(sources, source) for source in after]
         assert not any(waits), sources
+
+
+@when(
+    'relay knows {count:d} agents that hold piece {index:d} and asks '
+    'for host {which}'
+)
+def knows_agents(context, count, index, which):
+    agents = tuple(f'agent {number}' for number in range(count))
+    chain = decisions.chain_of(context.hosts, 'dc0', _KEY)
+    near = [host for host in chain if host.data_centre == 'dc1']
+    own = near[0] if which == 'first' else near[-1]
+    shared = decisions.share_out(agents, index)
+    context.near = {host.peer_address for host in near}
+    context.sources = decisions.sources_of(
+        own, context.hosts, 'dc0', _KEY, shared
+    )
+
+
+@then('relay asks {first} first')
+def asks_first(context, first):
+    found = context.sources[0]
+    kind = 'entry host' if found in context.near else 'other'
+    expected = found if found.startswith('agent') else kind
+    assert first == expected, context.sources
+
+
+def _spec():
+    engine = desired.Engine('m', 16, 16, 4, 8, 1.0)
+    return desired.ServiceSpec('drafting', 10, engine)
+
+
+def _state():
+    return desired.DesiredState(
+        1, (), (_spec(),), None, desired.CallerLimits(1, 1, 1, 1)
+    )
+
+
+def _report(place, version, layers='0-16', reachable=True):
+    start, end = layers.split('-')
+    return LoadReport(
+        address='10.9.0.1:80',
+        peer_address='10.9.0.1:7700',
+        data_centre=place,
+        service_name='drafting',
+        count=1,
+        reachable=reachable,
+        started_ms=7,
+        active=0,
+        queued=0,
+        version=version,
+        layers_start=int(start),
+        layers_end=int(end),
+        switching=False,
+    )
+
+
+@given('relay knows a model of 16 layers')
+def knows_model(context):
+    context.holders = Holders('dc1')
+    context.holders.change_state(_state())
+
+
+@when(
+    'relay hears of layers {layers} of version {version:d} '
+    'from {place}, {worker}'
+)
+def hears_of(context, layers, version, place, worker):
+    report = _report(place, version, layers, worker == 'reachable')
+    context.holders.take(report, _HEARD_S)
+
+
+@then('relay counts {count:d} holders of version 1 after {age:g} s')
+def counts(context, count, age):
+    found = context.holders.of_version('m', 1, _HEARD_S + age)
+    assert len(found) == count, found
+
+
+@given('relay runs on a host that {role} and started {age:g} s ago')
+def runs_on(context, role, age):
+    # Which host leads depends on the version, so the next step picks it.
+    context.role = role
+    context.age = age
+
+
+@given('relay knows that version {version:d} was declared long ago')
+def declared(context, version):
+    chain = decisions.chain_of(context.hosts, '', f'm/{version}')
+    own = chain[0] if context.role == 'leads' else chain[-1]
+    started_s = time.monotonic() - context.age
+    relay = RelayService(Kernel('entry'), own, started_s)
+    relay.change_state(desired.DesiredStateChanged(_state()), Reply())
+    relay.change_hosts(EntryHostsChanged(context.hosts), Reply())
+    if version > 1:
+        target = desired.ModelVersion('m', version)
+        relay.change_version(desired.ModelVersionChanged(target, -1), Reply())
+    context.relay = relay
+
+
+@when('relay hears of an agent that holds version {version:d}')
+def hears_holder(context, version):
+    context.relay.take_report(_report('dc0', version), Reply())
+
+
+@then('relay {fetches} version {version:d}')
+def fetches_version(context, fetches, version):
+    eager = context.relay.is_fetching('m', version)
+    assert eager == (fetches == 'fetches')
+
+
+def _next_fetch(context):
+    holding = context.relay.holding('m', 1)
+    waiter = AsyncResult()
+    context.relay.next_fetch(events.NextFetch(holding), Reply(waiter))
+    return holding, waiter.get(timeout=1).ok_value
+
+
+@then('relay sends its worker for the manifest to the origin')
+def manifest_from_origin(context):
+    holding, fetch = _next_fetch(context)
+    assert (fetch.index, fetch.source) == (-1, ''), fetch.source
+    manifest = json.dumps({'layers': 16, 'digests': ['a', 'b']}).encode()
+    fetched = events.Fetched(holding, -1, '', Ok(manifest))
+    context.relay.take_fetched(fetched, Reply())
+
+
+@then('relay sends its worker for piece {index:d} to an agent')
+def piece_from_agent(context, index):
+    _, fetch = _next_fetch(context)
+    assert (fetch.index, fetch.source) == (index, '10.9.0.1:7700')
