--- a/apricotpin/components/relay/service.py
+++ b/apricotpin/components/relay/service.py
@@ -138,15 +138,6 @@
         logger.bind(model=model, version=version).info('version_wanted')
         return holding
 
-
-def _is_sound(holding: Holding, index: int, content: bytes) -> bool:
-    if index != const.MANIFEST_INDEX:
-        return matches_sha256(content, holding.digests[index])
-    try:
-        return bool(json.loads(content)['digests'])
-    except (ValueError, KeyError, TypeError):
-        return False
-
     def next_fetch(self, message: NextFetch, reply: Reply) -> None:
         """Answer a worker with what to fetch, once there is something."""
         holding = message.holding
@@ -229,3 +220,12 @@
             worker.ok(self._sources.next_fetch(holding, index))
         else:
             holding.wanted.append(index)
+
+
+def _is_sound(holding: Holding, index: int, content: bytes) -> bool:
+    if index != const.MANIFEST_INDEX:
+        return matches_sha256(content, holding.digests[index])
+    try:
+        return bool(json.loads(content)['digests'])
+    except (ValueError, KeyError, TypeError):
+        return False
