Drain workers before they take a version, and finish a version in progress

The report showed that four of ten workers took version 2, and the agents' logs that the others gave it up for version 3 with nine tenths of it fetched, so that none of them might serve from the bound of version 2 until version 3 came. The gateways' logs showed streams that were cut off pausing for 290 to 680 ms, since their prompts are read again, half of a request's work. Change: an agent finishes a version where the next can follow within its bound, fetches the next one while the first waits for its turn, and reads back what is staged ahead of the turn. Workers get nothing new for 0.8 s before they switch; the next group drains while one loads. Greetings name the version that a turn is for and come at once when a worker has switched. Dispatch prefers workers that hold the newest version, and resumed streams have rank 0.

--- a/apricotpin/components/dispatch/decisions.py
+++ b/apricotpin/components/dispatch/decisions.py
@@ -102,10 +102,21 @@
         cost += const.DISTANCE_COST
     if is_fresh(upstream, now_s) and upstream.report.switching:
         cost += const.SWITCHING_COST
+    if is_behind(state, upstream, now_s):
+        cost += const.BEHIND_COST
     cost += upstream.failure_score * const.FAILURE_COST
     return cost + random_unit() * const.TIE_SPREAD
 
 
+def is_behind(state: DispatchState, upstream: Upstream, now_s: float) -> bool:
+    """Tell whether a worker holds an older version than the newest declared."""
+    spec = state.services.get(upstream.entry.service)
+    if spec is None or spec.engine is None:
+        return False
+    declared = state.targets.get(spec.engine.model, {})
+    return version_of(upstream, spec.engine, now_s) < max(declared, default=0)
+
+
 def load_of(upstream: Upstream, now_s: float) -> int:
     """Return the requests expected at an upstream, those waiting included."""
     others = upstream.others if is_fresh(upstream, now_s) else 0
--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -216,6 +216,7 @@
         job.resolved.tenant,
         job.progress.deadline_s - time.monotonic(),
         job.progress.last_event_id,
+        decisions.is_resumed(job.progress),
     )
     return job.codec.encode_request(job.head, handover, job.body)
 
--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -23,17 +23,21 @@
 # leaves half of it to the answers of the worker.
 SHARING_PAUSE_S: Final = 0.14
 SHARING_MAILBOX_SIZE: Final = 32
-# Requests in progress end within about this time, so new ones are sent
-# elsewhere this long before the last piece arrives.
-DRAIN_AHEAD_S: Final = 0.5
+# Entry hosts send new requests elsewhere for this long before a worker takes
+# a version: of streams that last a second in the mean, most have ended then.
+# One that is cut off has its prompt read again, half of its work.
+DRAIN_S: Final = 0.8
 # After this part of the time allowed, a worker waits for no other.
 SWITCH_LATEST_SHARE: Final = 0.78
-# A version of which this part is here is finished before a newer one: the
-# rest takes less than the two seconds that the newer one can spare.
-ALMOST_HERE_SHARE: Final = 0.6
+# Part of the time allowed that a whole version needs to be loaded, and that
+# entry hosts keep for requests which wait at a worker.
+LOAD_RESERVE_S: Final = 1.2
 # A version of which nothing came for this long gives way to an older one
 # that the entry hosts hold: the origin may be away.
 STALL_S: Final = 1.0
+# What is staged may turn bad, so it is read again before an order if that
+# was longer ago than this; a worker may load what turned bad within 3 s.
+CHECK_FRESH_S: Final = 2.0
 # An order that had no effect after this time is given again.
 ORDER_EFFECT_S: Final = 6.0
 CALL_TIMEOUT_S: Final = 4.0
--- a/apricotpin/components/installer/decisions.py
+++ b/apricotpin/components/installer/decisions.py
@@ -4,6 +4,13 @@
 
 from apricotpin.components.installer import const
 from apricotpin.components.installer.state import Install, WorkerView
+from apricotpin.components.installer.switching import (
+    is_drained,
+    is_installed,
+    is_reachable,
+    is_switching,
+    may_switch,
+)
 from apricotpin.helpers.hashing import matches_sha256
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages.fleet import LoadReport
@@ -16,6 +23,7 @@
     WAIT = 'wait'
     SCAN = 'scan'
     STAGE = 'stage'
+    CHECK = 'check'
     START = 'start'
 
 
@@ -35,43 +43,6 @@
     return known is not None and known.started_ms != report.started_ms
 
 
-def is_reachable(view: WorkerView) -> bool:
-    """Tell whether the worker answers."""
-    return view.report is not None and view.misses < const.UNREACHABLE_AFTER
-
-
-def is_installed(view: WorkerView, install: Install) -> bool:
-    """Tell whether the worker holds the whole version, or a later one."""
-    if view.report is None or view.version < install.version:
-        return False
-    whole = view.layers_start == 0 and view.layers_end >= install.stock.layers
-    return whole or view.version > install.version
-
-
-def supersedes(
-    install: Install | None,
-    view: WorkerView,
-    version: int,
-) -> bool:
-    """Tell whether a version is installed in place of the one in progress.
-
-    The workers that switch first finish a version that is almost here, so
-    that its bound is kept while the others fetch the newer one.
-    """
-    if install is None:
-        return True
-    if version <= install.version:
-        return False
-    if is_installed(view, install):
-        return True
-    if install.finish_first:
-        return False
-    if install.group > 0:
-        return True
-    held = len(install.stock.pieces)
-    return held < const.ALMOST_HERE_SHARE * max(1, len(install.stock.digests))
-
-
 def next_index(
     install: Install,
     is_there: bool,
@@ -97,30 +68,6 @@
     return next(missing, None)
 
 
-def is_stalled(install: Install, now_s: float) -> bool:
-    """Tell whether nothing of a version has come for some time."""
-    if install.stock.is_complete:
-        return False
-    return now_s - install.stock.progress_s > const.STALL_S
-
-
-def best_parked(
-    parked: dict[int, Install],
-    install: Install,
-    view: WorkerView,
-    now_s: float,
-) -> Install | None:
-    """Return an older version to install while a newer one does not come."""
-    if is_installed(view, install) or not is_stalled(install, now_s):
-        return None
-    newer = [
-        version
-        for version, one in parked.items()
-        if view.version < version < install.version and one.stock.digests
-    ]
-    return parked[max(newer)] if newer else None
-
-
 def is_sound(install: Install, index: int, content: bytes | None) -> bool:
     """Tell whether content is the piece that the manifest names."""
     return matches_sha256(content, install.stock.digests[index])
@@ -138,38 +85,23 @@
         return _after_order(install, view, now_s)
     if set(install.stock.pieces) - install.stock.staged:
         return Load.STAGE
-    if install.stock.is_complete and may_switch(install, view, now_s):
-        return Load.START
-    return Load.WAIT
-
-
-def may_switch(install: Install, view: WorkerView, now_s: float) -> bool:
-    """Tell whether the worker may stop serving what it holds."""
-    serves_nothing = view.version == 0 or view.layers_end < install.stock.layers
-    if serves_nothing or install.turn == 0:
-        return True
-    return now_s >= install.switch_by_s
-
-
-def is_switching(install: Install, view: WorkerView, now_s: float) -> bool:
-    """Tell whether entry hosts should send to other workers now."""
-    if is_installed(view, install):
-        return False
-    if install.ordered_s is not None:
-        return True
-    if not install.stock.digests or not may_switch(install, view, now_s):
-        return False
-    return left_s(install, now_s) < const.DRAIN_AHEAD_S
+    if not install.stock.is_complete:
+        return Load.WAIT
+    return _when_staged(install, view, now_s)
 
 
-def left_s(install: Install, now_s: float) -> float:
-    """Estimate the time until all pieces are here."""
-    missing = len(install.stock.digests) - len(install.stock.pieces)
-    if not missing:
-        return 0
-    if not install.stock.pieces:
-        return float('inf')
-    return (now_s - install.stock.begun_s) / len(install.stock.pieces) * missing
+def _when_staged(install: Install, view: WorkerView, now_s: float) -> Load:
+    """Check ahead of the turn, so that the worker is away for less time."""
+    checked_s = install.stock.checked_s
+    if checked_s is None:
+        return Load.CHECK
+    if not may_switch(install, view, now_s):
+        return Load.WAIT
+    if not is_drained(install, view, now_s):
+        return Load.WAIT
+    if now_s - checked_s > const.CHECK_FRESH_S:
+        return Load.CHECK
+    return Load.START
 
 
 def _after_order(install: Install, view: WorkerView, now_s: float) -> Load:
@@ -180,6 +112,35 @@
     return Load.WAIT
 
 
+def note_scan(
+    install: Install,
+    found: dict[int, bytes],
+    done: bool,
+    now_s: float,
+) -> None:
+    """Take the staged pieces that a scan found right."""
+    stock = install.stock
+    stock.scanned = done
+    stock.begun_s = now_s
+    stock.pieces.update(found)
+    stock.staged.update(found)
+
+
+def note_step(
+    install: Install,
+    action: Load,
+    staged: dict[int, bytes],
+    now_s: float,
+) -> None:
+    """Note a step at the worker that succeeded."""
+    if action is Load.STAGE:
+        install.stock.staged.update(staged)
+    elif action is Load.CHECK:
+        install.stock.checked_s = now_s
+    elif action is Load.START:
+        install.ordered_s = now_s
+
+
 def shares(
     view: WorkerView,
     install: Install | None,
@@ -206,6 +167,7 @@
 ) -> LoadReport:
     """Return what entry hosts are told of the worker."""
     report = view.report
+    is_done = install is None or is_installed(view, install)
     return LoadReport(
         address=settings.upstream_address,
         peer_address=settings.peer_address,
@@ -220,4 +182,5 @@
         layers_start=view.layers_start,
         layers_end=view.layers_end,
         switching=install is not None and is_switching(install, view, now_s),
+        installing=0 if is_done else install.version,
     )
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from apricotpin.components.installer import const, decisions
+from apricotpin.components.installer import const, decisions, switching
 from apricotpin.components.installer.entries import Entries
 from apricotpin.components.installer.events import (
     IsShared,
@@ -18,6 +18,7 @@
     ReportRead,
 )
 from apricotpin.components.installer.state import Install, WorkerView
+from apricotpin.components.installer.versions import Versions
 from apricotpin.const import SERVICE_PRESENCE
 from apricotpin.core import Kernel, Reply
 from apricotpin.host_settings import HostSettings
@@ -25,7 +26,6 @@
     AnnounceLoad,
     EntryHello,
     LoadReport,
-    WeightsTarget,
 )
 from apricotpin.messages.pieces import WorkerReport
 
@@ -36,11 +36,10 @@
     __slots__ = (
         '_entries',
         '_fetchers',
-        '_install',
         '_kernel',
         '_loaders',
-        '_parked',
         '_settings',
+        '_versions',
         '_view',
     )
 
@@ -49,9 +48,10 @@
         self._settings = settings
         self._entries = Entries(settings.data_centre)
         self._view = WorkerView()
-        self._install: Install | None = None
-        # Versions that were begun and not finished.
-        self._parked: dict[int, Install] = {}
+        self._versions = Versions(
+            settings.data_centre,
+            settings.bounds.version_s,
+        )
         self._fetchers: list[Reply] = []
         self._loaders: list[Reply] = []
 
@@ -61,7 +61,7 @@
         self._entries.hear(hello)
         for target in hello.targets:
             if target.service_name == self._settings.service:
-                self._take_target(target, hello, now_s)
+                self._versions.take_target(target, hello, self._view, now_s)
         self._go_on()
         reply.ok()
 
@@ -77,7 +77,7 @@
         else:
             self._take_report(message.report.ok_value)
         self._kernel.send(SERVICE_PRESENCE, AnnounceLoad(self.own_report()))
-        self._fall_back()
+        self._versions.fall_back(self._view, time.monotonic())
         self._go_on()
         reply.ok()
 
@@ -114,16 +114,12 @@
         """Note what a step at the worker achieved."""
         install = message.order.install
         action = message.order.action
+        now_s = time.monotonic()
         if action is decisions.Load.SCAN:
-            install.stock.scanned = message.done
-            install.stock.begun_s = time.monotonic()
-            install.stock.pieces.update(message.pieces)
-            install.stock.staged.update(message.pieces)
+            decisions.note_scan(install, message.pieces, message.done, now_s)
             _log_if_complete(install)
-        elif action is decisions.Load.STAGE and message.done:
-            install.stock.staged.update(message.pieces)
-        elif action is decisions.Load.START and message.done:
-            install.ordered_s = time.monotonic()
+        elif message.done:
+            decisions.note_step(install, action, message.pieces, now_s)
         reply.ok()
         self._go_on()
 
@@ -132,7 +128,7 @@
         reply.ok(
             decisions.shares(
                 self._view,
-                self._install,
+                self._versions.current,
                 message.model,
                 message.version,
             ),
@@ -143,84 +139,13 @@
         return decisions.report_of(
             self._settings,
             self._view,
-            self._install,
+            self._versions.current,
             time.monotonic(),
         )
 
-    def _take_target(
-        self,
-        target: WeightsTarget,
-        hello: EntryHello,
-        now_s: float,
-    ) -> None:
-        install = self._install
-        if decisions.supersedes(install, self._view, target.version):
-            install = self._begin(target, hello, now_s)
-        near = hello.data_centre == self._settings.data_centre
-        if near and target.version == install.version:
-            install.turn = hello.turn
-            install.group = hello.group
-            install.may_cut = hello.may_cut
-
-    def _begin(
-        self,
-        target: WeightsTarget,
-        hello: EntryHello,
-        now_s: float,
-    ) -> Install:
-        known_for_s = max(0, target.known_for_ms) / 1000
-        allowed_s = self._settings.bounds.version_s * const.SWITCH_LATEST_SHARE
-        switch_by_s = now_s - known_for_s + allowed_s
-        before = self._install
-        if before is not None and not decisions.is_installed(
-            self._view,
-            before,
-        ):
-            # The version that was skipped has an earlier bound.
-            switch_by_s = min(switch_by_s, before.switch_by_s)
-            self._parked[before.version] = before
-        install = self._parked.pop(target.version, None) or Install(
-            target.model,
-            target.version,
-            now_s,
-            switch_by_s,
-        )
-        install.stock.progress_s = now_s
-        self._install = install
-        logger.bind(
-            model=target.model,
-            version=target.version,
-            known_for_ms=target.known_for_ms,
-            entry_host=hello.host_id,
-        ).info('version_wanted')
-        return install
-
-    def _fall_back(self) -> None:
-        install = self._install
-        if install is None:
-            return
-        now_s = time.monotonic()
-        older = decisions.best_parked(
-            self._parked,
-            install,
-            self._view,
-            now_s,
-        )
-        if older is None:
-            return
-        logger.bind(
-            version=older.version,
-            instead_of=install.version,
-            pieces=len(older.stock.pieces),
-        ).info('version_fallback')
-        self._parked[install.version] = install
-        self._install = self._parked.pop(older.version)
-        self._install.stock.progress_s = now_s
-        self._install.finish_first = True
-
     def _take_report(self, report: WorkerReport) -> None:
-        view, install = self._view, self._install
-        was_there = decisions.is_reachable(view)
+        view, install = self._view, self._versions.current
+        was_there = switching.is_reachable(view)
         before = (view.version, view.layers_end)
         layers = 0 if install is None else install.stock.layers
         restarted = decisions.view_report(view, report, layers)
@@ -238,13 +163,16 @@
             # What is staged may be gone with the worker.
             install.ordered_s = None
             install.stock.staged.clear()
+            install.stock.checked_s = None
             install.stock.scanned = bool(install.stock.pieces)
-        if decisions.is_installed(view, install) and install.stock.pieces:
+        if switching.is_installed(view, install) and install.stock.pieces:
             # The staged copy is read again if the worker starts anew.
             install.stock.pieces.clear()
             install.stock.staged.clear()
             install.stock.scanned = False
+            install.stock.checked_s = None
             install.ordered_s = None
+            self._versions.drop_older(view)
 
     def _take_manifest(self, install: Install, content: bytes) -> None:
         try:
@@ -255,11 +183,12 @@
             logger.bind(error=repr(error)).warning('manifest_unreadable')
 
     def _go_on(self) -> None:
-        install = self._install
+        install = self._versions.current
         if install is None:
             return
         now_s = time.monotonic()
-        self._feed_fetchers(install, now_s)
+        switching.note_draining(install, self._view, now_s)
+        self._feed_fetchers(self._versions.wanted(), now_s)
         if self._loaders:
             action = decisions.next_load(install, self._view, now_s)
             if action is not decisions.Load.WAIT:
@@ -268,12 +197,12 @@
 
     def _feed_fetchers(self, install: Install, now_s: float) -> None:
         view = self._view
-        if decisions.is_installed(view, install):
+        if switching.is_installed(view, install):
             return
         while self._fetchers:
             index = decisions.next_index(
                 install,
-                decisions.is_reachable(view),
+                switching.is_reachable(view),
                 not self._settings.first_start,
             )
             if index is None:
@@ -284,6 +213,8 @@
             )
             if not addresses:
                 return
+            if not install.stock.pieces:
+                install.stock.begun_s = now_s
             install.stock.fetching.add(index)
             order = PieceOrder(install, index, addresses)
             self._fetchers.pop().ok(order)
@@ -307,6 +238,6 @@
             for index, content in install.stock.pieces.items()
             if index not in install.stock.staged
         }
-    elif action is decisions.Load.START:
+    elif action is decisions.Load.CHECK:
         pieces = dict(install.stock.pieces)
     return LoadOrder(action, install, pieces)
--- a/apricotpin/components/installer/state.py
+++ b/apricotpin/components/installer/state.py
@@ -7,11 +7,13 @@
     """Hold the pieces of one version; times are of the monotonic clock.
 
     pieces holds checked content; scanned holds once the worker's staged
-    pieces were looked through; progress_s is when the last piece came.
+    pieces were looked through; progress_s is when the last piece came, and
+    checked_s when all that is staged was found right, None if never.
     """
 
     __slots__ = (
         'begun_s',
+        'checked_s',
         'digests',
         'fetching',
         'layers',
@@ -30,6 +32,7 @@
         self.fetching: set[int] = set()
         self.staged: set[int] = set()
         self.scanned = False
+        self.checked_s: float | None = None
 
     @property
     def is_complete(self) -> bool:
@@ -43,10 +46,13 @@
     switch_by_s is when the worker waits for no other any more; turn counts
     the workers that switch first and group is 0 for those; finish_first holds
     for a version that stands in for a newer one that does not come; may_cut
-    holds where what runs at the worker may go on at another one.
+    holds where what runs at the worker may go on at another one. draining_s
+    is since when entry hosts are asked to send new requests elsewhere, None
+    while they are not.
     """
 
     __slots__ = (
+        'draining_s',
         'finish_first',
         'group',
         'may_cut',
@@ -72,6 +78,7 @@
         self.group = 0
         self.finish_first = False
         self.may_cut = False
+        self.draining_s: float | None = None
         self.ordered_s: float | None = None
         self.stock = PieceStock(begun_s)
 
--- a/apricotpin/components/installer/workers.py
+++ b/apricotpin/components/installer/workers.py
@@ -162,8 +162,8 @@
     return LoadDone(order, True, staged)
 
 
-def _start(kernel: Kernel, order: LoadOrder) -> LoadDone:
-    """Check what is staged, mend it, and order the worker to load it.
+def _check(kernel: Kernel, order: LoadOrder) -> LoadDone:
+    """Check what is staged and mend it.
 
     Staged pieces may turn bad, and the worker checks nothing itself.
     """
@@ -179,6 +179,11 @@
         logger.bind(pieces=len(bad)).warning('staged_pieces_bad')
         _stage(kernel, LoadOrder(Load.STAGE, order.install, bad))
         return LoadDone(order, False, {})
+    return LoadDone(order, True, {})
+
+
+def _start(kernel: Kernel, order: LoadOrder) -> LoadDone:
+    """Order the worker to load what was checked."""
     install = order.install
     started = kernel.call(
         SERVICE_ENGINE,
@@ -204,5 +209,10 @@
 
 
 _ACTIONS: Final = types.MappingProxyType(
-    {Load.SCAN: _scan, Load.STAGE: _stage, Load.START: _start}
+    {
+        Load.SCAN: _scan,
+        Load.STAGE: _stage,
+        Load.CHECK: _check,
+        Load.START: _start,
+    }
 )
--- a/apricotpin/components/presence/__init__.py
+++ b/apricotpin/components/presence/__init__.py
@@ -3,7 +3,7 @@
 from gevent import socket
 from result import Err, Ok, Result
 
-from apricotpin.components.presence import const, service
+from apricotpin.components.presence import agent, const, endpoint, entry
 from apricotpin.const import (
     ROLE_HOST_AGENT,
     SERVICE_PRESENCE,
@@ -18,30 +18,30 @@
 
 def setup(kernel: Kernel, settings: HostSettings) -> Result[None, Failure]:
     """Register the presence service of this role."""
-    endpoint = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     try:
-        endpoint.bind(settings.peer_listen.as_tuple())
+        opened.bind(settings.peer_listen.as_tuple())
     except OSError as error:
         detail = f'cannot bind {settings.peer_listen}: {error.strerror}'
         return Err(Failure(ErrorKind.PORT_TAKEN, detail))
     if settings.role == ROLE_HOST_AGENT:
-        _start_agent(kernel, settings, endpoint)
+        _start_agent(kernel, settings, opened)
     else:
-        _start_entry(kernel, settings, endpoint)
-    kernel.spawn(service.receive_forever, kernel, endpoint)
+        _start_entry(kernel, settings, opened)
+    kernel.spawn(endpoint.receive_forever, kernel, opened)
     return Ok(None)
 
 
 def _start_agent(
     kernel: Kernel,
     settings: HostSettings,
-    endpoint: socket.socket,
+    opened: socket.socket,
 ) -> None:
-    presence = service.AgentPresence(kernel, settings, endpoint)
+    presence = agent.AgentPresence(kernel, settings, opened)
     kernel.register(
         SERVICE_PRESENCE,
         {
-            service.Received: presence.receive,
+            endpoint.Received: presence.receive,
             fleet.AnnounceLoad: presence.announce,
             fleet.FindEntries: presence.find_entries,
             fleet.CountEntries: presence.count_entries,
@@ -52,22 +52,22 @@
 def _start_entry(
     kernel: Kernel,
     settings: HostSettings,
-    endpoint: socket.socket,
+    opened: socket.socket,
 ) -> None:
-    presence = service.EntryPresence(kernel, settings, endpoint)
-    host = service.own_host(settings)
+    presence = entry.EntryPresence(kernel, settings, opened)
+    host = entry.own_host(settings)
 
     def start(_message: Started, reply: Reply) -> None:
-        kernel.spawn(service.record_host, kernel, host)
-        kernel.every(SERVICE_PRESENCE, service.Tick(), const.HELLO_PERIOD_S)
+        kernel.spawn(entry.record_host, kernel, host)
+        kernel.every(SERVICE_PRESENCE, entry.Tick(), const.HELLO_PERIOD_S)
         reply.ok()
 
     kernel.register(
         SERVICE_PRESENCE,
         {
             Started: start,
-            service.Received: presence.receive,
-            service.Tick: presence.tick,
+            endpoint.Received: presence.receive,
+            entry.Tick: presence.tick,
             desired.DesiredStateChanged: presence.change_state,
             desired.ModelVersionChanged: presence.change_version,
             upstreams.UpstreamListed: presence.list_upstream,
--- a/apricotpin/components/presence/decisions.py
+++ b/apricotpin/components/presence/decisions.py
@@ -1,5 +1,7 @@
 """Decide who is present, and in which order workers switch versions."""
 
+from collections.abc import Iterable
+
 from apricotpin.components.presence import const
 from apricotpin.messages.desired import DesiredState
 from apricotpin.messages.fleet import EntryHello, LoadReport
@@ -73,8 +75,28 @@
     return group, ordered[: group * size]
 
 
+def turn_of(
+    report: LoadReport,
+    agents: Iterable[Seen],
+    version: int,
+) -> tuple[int, int]:
+    """Return how many workers a worker waits for, and its group."""
+    fellows = [
+        seen.message
+        for seen in agents
+        if seen.message.service_name == report.service_name
+        and seen.message.data_centre == report.data_centre
+    ]
+    group, earlier = group_of(report.address, fellows)
+    return count_behind(earlier, version), group
+
+
 def count_behind(reports: list[LoadReport], version: int) -> int:
-    """Return how many workers hold an older version."""
+    """Return how many workers still serve an older version.
+
+    One that loads the new version names none, so the next group drains
+    meanwhile.
+    """
     return sum(
         1
         for report in reports
--- a/apricotpin/components/presence/service.py
+++ b/apricotpin/components/presence/entry.py
@@ -1,4 +1,4 @@
-"""Own the datagram socket and what entry hosts and agents say on it."""
+"""What an entry host says to agents and other entry hosts, and hears."""
 
 import time
 from typing import Any, Final
@@ -7,14 +7,10 @@
 from loguru import logger
 
 from apricotpin.components.presence import const, decisions
-from apricotpin.const import (
-    SERVICE_CONFIGURATION,
-    SERVICE_PRESENCE,
-    SERVICE_STORE,
-)
+from apricotpin.components.presence.endpoint import Received, send
+from apricotpin.const import SERVICE_CONFIGURATION, SERVICE_STORE
 from apricotpin.core import Kernel, Reply
 from apricotpin.helpers.addresses import Address
-from apricotpin.helpers.wire import decode_datagram, encode_datagram
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages import desired, fleet, upstreams
 from apricotpin.messages.feeds import EntryHost, RecordHost
@@ -23,15 +19,6 @@
 _UNDECLARED: Final = (1, None)
 
 
-class Received:
-    """Carry a message that arrived in a datagram."""
-
-    __slots__ = ('message',)
-
-    def __init__(self, message: Any) -> None:
-        self.message = message
-
-
 class Tick:
     """Send what is due."""
 
@@ -201,6 +188,9 @@
             report, time.monotonic()
         )
         self._kernel.publish(report)
+        if known is not None and known.message.version != report.version:
+            # The next group waits for this.
+            self._greet_agents(near_only=True)
         if known is None:
             logger.bind(agent=report.peer_address).info('agent_heard')
             self._greet(report.peer_address, report.data_centre)
@@ -233,10 +223,15 @@
 
     def _greet(self, agent: str, data_centre: str) -> None:
         targets = current_targets(self._models, self._targets)
-        turn, group, service_name = 0, 0, ''
+        turn, group, version, service_name = 0, 0, 0, ''
         seen = self._agents.get(agent)
         if seen is not None:
-            turn, group = self._turn_of(seen.message)
+            version = self._version_for(seen.message)
+            turn, group = decisions.turn_of(
+                seen.message,
+                self._agents.values(),
+                version,
+            )
             service_name = seen.message.service_name
         hello = fleet.EntryHello(
             self._own.host_id,
@@ -246,20 +241,15 @@
             turn,
             group,
             may_cut=service_name in self._resumable,
+            turn_version=version,
         )
         send(self._socket, agent, hello)
 
-    def _turn_of(self, report: fleet.LoadReport) -> tuple[int, int]:
+    def _version_for(self, report: fleet.LoadReport) -> int:
+        """Return the version that an agent brings to its worker next."""
         model = self._models.get(report.service_name, '')
-        version, _ = self._targets.get(model, _UNDECLARED)
-        fellows = [
-            seen.message
-            for seen in self._agents.values()
-            if seen.message.service_name == report.service_name
-            and seen.message.data_centre == report.data_centre
-        ]
-        group, earlier = decisions.group_of(report.address, fellows)
-        return decisions.count_behind(earlier, version), group
+        newest, _ = self._targets.get(model, _UNDECLARED)
+        return report.installing or newest
 
     def _greet_entry(self, address: str) -> None:
         hello = fleet.EntryHello(
@@ -280,72 +270,6 @@
             self._greet_entry(address)
 
 
-class AgentPresence:
-    """Own what an agent knows of entry hosts, and send its reports."""
-
-    __slots__ = ('_count', '_entries', '_kernel', '_settings', '_socket')
-
-    def __init__(
-        self,
-        kernel: Kernel,
-        settings: HostSettings,
-        endpoint: socket.socket,
-    ) -> None:
-        self._kernel = kernel
-        self._settings = settings
-        self._socket = endpoint
-        self._entries: dict[str, decisions.Seen] = {}
-        self._count = 0
-
-    def receive(self, message: Received, reply: Reply) -> None:
-        """Take a greeting."""
-        hello = message.message
-        if isinstance(hello, fleet.EntryHello):
-            if hello.host_id not in self._entries:
-                logger.bind(entry_host=hello.host_id).info('entry_host_heard')
-            self._entries[hello.host_id] = decisions.Seen(
-                hello, time.monotonic()
-            )
-            self._kernel.publish(hello)
-        reply.ok()
-
-    def announce(self, message: fleet.AnnounceLoad, reply: Reply) -> None:
-        """Send a report to the entry hosts that greeted lately."""
-        report = message.report
-        self._count += 1
-        report.count = self._count
-        now_s = time.monotonic()
-        gone = decisions.drop_silent(
-            self._entries,
-            const.ENTRY_SILENT_S,
-            now_s,
-        )
-        for host_id in gone:
-            logger.bind(entry_host=host_id).info('entry_host_silent')
-        far = self._count % const.FAR_REPORT_EVERY == 0
-        for seen in self._entries.values():
-            hello = seen.message
-            near = hello.data_centre == self._settings.data_centre
-            if near or far:
-                send(self._socket, hello.peer_address, report)
-        reply.ok()
-
-    def find_entries(self, message: fleet.FindEntries, reply: Reply) -> None:
-        """Send a report to recorded entry hosts, so that they greet."""
-        if not self._entries:
-            for host in message.hosts:
-                send(self._socket, host.peer_address, message.report)
-        reply.ok()
-
-    def count_entries(
-        self,
-        _message: fleet.CountEntries,
-        reply: Reply,
-    ) -> None:
-        """Answer how many entry hosts greeted lately."""
-        reply.ok(len(self._entries))
-
-
 def current_targets(
     models: dict[str, str],
     targets: dict[str, Any],
@@ -373,30 +297,6 @@
     )
 
 
-def send(endpoint: socket.socket, address: str, message: Any) -> None:
-    """Send a datagram; one that cannot be sent is lost like any other."""
-    try:
-        endpoint.sendto(
-            encode_datagram(message),
-            Address.from_text(address).as_tuple(),
-        )
-    except (OSError, ValueError) as error:
-        logger.bind(address=address, error=repr(error)).debug('send_failed')
-
-
-def receive_forever(kernel: Kernel, endpoint: socket.socket) -> None:
-    """Pass each datagram to the service; one that can't be read is dropped."""
-    while True:
-        try:
-            received = endpoint.recv(const.DATAGRAM_MAX_BYTES)
-        except OSError:
-            # An earlier datagram found no listener.
-            continue
-        message = decode_datagram(received)
-        if message is not None:
-            kernel.send(SERVICE_PRESENCE, Received(message))
-
-
 def record_host(kernel: Kernel, host: EntryHost) -> None:
     """Write this host's record until the store takes it."""
     while True:
--- a/apricotpin/messages/calls.py
+++ b/apricotpin/messages/calls.py
@@ -53,13 +53,17 @@
 
 
 class Handover:
-    """Hold what an upstream is told about one attempt."""
+    """Hold what an upstream is told about one attempt.
+
+    urgent holds where it goes on with what another upstream broke off.
+    """
 
     __slots__ = (
         'instance_id',
         'last_event_id',
         'left_s',
         'tenant',
+        'urgent',
     )
 
     def __init__(
@@ -68,11 +72,13 @@
         tenant: str,
         left_s: float,
         last_event_id: str,
+        urgent: bool = False,
     ) -> None:
         self.instance_id = instance_id
         self.tenant = tenant
         self.left_s = left_s
         self.last_event_id = last_event_id
+        self.urgent = urgent
 
 
 class AnswerHead:
--- a/apricotpin/messages/fleet.py
+++ b/apricotpin/messages/fleet.py
@@ -27,7 +27,7 @@
 
     The workers of a data centre and service switch to a new version in
     groups: group is that of the receiver's worker, and turn the number of
-    workers in earlier groups that have not switched yet.
+    workers in earlier groups that have not switched to turn_version yet.
     """
 
     __slots__ = (
@@ -39,6 +39,7 @@
         'peer_address',
         'targets',
         'turn',
+        'turn_version',
     )
 
     def __init__(
@@ -51,12 +52,14 @@
         group: int = 0,
         config_version: int = 0,
         may_cut: bool = False,
+        turn_version: int = 0,
     ) -> None:
         self.host_id = host_id
         self.peer_address = peer_address
         self.data_centre = data_centre
         self.targets = targets
         self.turn = turn
+        self.turn_version = turn_version
         self.group = group
         # Version of the desired state that the sender has in force.
         self.config_version = config_version
@@ -68,7 +71,8 @@
     """Tell entry hosts what the worker beside an agent does and holds.
 
     count grows with each report of one start of the agent; switching holds
-    from a short time before the worker takes a new version.
+    from a short time before the worker takes a new version; installing is
+    the version that the agent brings to it, 0 if there is none.
     """
 
     __slots__ = (
@@ -76,6 +80,7 @@
         'address',
         'count',
         'data_centre',
+        'installing',
         'layers_end',
         'layers_start',
         'peer_address',
@@ -102,6 +107,7 @@
         layers_start: int,
         layers_end: int,
         switching: bool,
+        installing: int = 0,
     ) -> None:
         self.address = address
         self.peer_address = peer_address
@@ -116,6 +122,7 @@
         self.layers_start = layers_start
         self.layers_end = layers_end
         self.switching = switching
+        self.installing = installing
 
 
 class EntryHostListed:
--- a/apricotpin/platform/call_codec.py
+++ b/apricotpin/platform/call_codec.py
@@ -105,6 +105,8 @@
     lines.append(f'{names.HEADER_EXPECT_INSTANCE}: {handover.instance_id}')
     if handover.tenant:
         lines.append(f'{names.HEADER_TENANT}: {handover.tenant}')
+    if handover.urgent:
+        lines.append(f'{names.HEADER_PRIORITY}: {names.PRIORITY_FIRST}')
     if handover.last_event_id:
         lines.append(f'{names.HEADER_LAST_EVENT_ID}: {handover.last_event_id}')
     if body or head.method in {'POST', 'PUT', 'PATCH'}:
--- a/apricotpin/platform/names.py
+++ b/apricotpin/platform/names.py
@@ -16,6 +16,8 @@
 HEADER_PRIORITY: Final = 'X-Request-Priority'
 HEADER_AUTHORIZATION: Final = 'Authorization'
 HEADER_RETRY_AFTER: Final = 'Retry-After'
+# Workers admit requests of this rank before those without one, which have 5.
+PRIORITY_FIRST: Final = 0
 AUTHORIZATION_SCHEME: Final = 'Token '
 
 PATH_REPORT: Final = '/report'
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -150,6 +150,7 @@
   6: i32 group
   7: i64 config_version
   8: bool may_cut
+  9: i64 turn_version
 }
 
 struct LoadReport {
@@ -166,6 +167,7 @@
   11: i32 layers_start
   12: i32 layers_end
   13: bool switching
+  14: i64 installing
 }
 
 // Exactly one field is set.
--- a/tests/components/dispatch/choice.feature
+++ b/tests/components/dispatch/choice.feature
@@ -38,6 +38,19 @@
       | far       | failing   |
       | far       | half full |
 
+  Scenario Outline: version 2 was just declared and of two workers one is <better>, one <worse>
+    # A stream on a worker that is behind is cut off when that one switches.
+    Given dispatch knows a worker that is <better> and one that is <worse>
+    And dispatch knows that version 2 was declared 1 s ago
+    When dispatch chooses 50 times
+    Then dispatch chose the first each time
+
+    Examples:
+      | better             | worse |
+      | of version 2       | idle  |
+      | far, of version 2  | near  |
+      | idle               | busy  |
+
   Scenario Outline: version <held> is <fate> when <declared> has been known for <known> s
     When dispatch judges version <held> with <declared> known for <known> s
     Then dispatch's version is <fate>
--- a/tests/components/presence/groups.feature
+++ b/tests/components/presence/groups.feature
@@ -24,6 +24,7 @@
       | state       | held |
       | older       | 2    |
       | empty       | 0    |
+      | loading     | 0    |
       | switched    | 0    |
       | unreachable | 0    |
 
--- a/tests/platform/codec.feature
+++ b/tests/platform/codec.feature
@@ -24,6 +24,16 @@
     When codec passes on a request with a header named by Connection
     Then codec's worker receives no X-Hop
 
+  Scenario Outline: a request that <urgency> has the rank <rank> at the worker
+    When codec passes on a request that <urgency>
+    Then codec's worker receives <rank>
+
+    Examples:
+      # A stream that waits behind new requests pauses for too long.
+      | urgency                   | rank                  |
+      | another worker broke off  | X-Request-Priority: 0 |
+      | is new                    | no X-Request-Priority |
+
   Scenario Outline: an answer <status> with <header> is <meaning>
     When codec reads an answer <status> with <header>
     Then codec's answer is <meaning>
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -74,6 +74,7 @@
         'of another service': {'service': 'fees'},
         'entered empty, never reported': {'loaded': ()},
         'far': {'data_centre': 'far'},
+        'far, of version 2': {'data_centre': 'far'},
     }
     reports = {
         'without weights': {'version': 0, 'layers_end': 0},
@@ -85,6 +86,8 @@
         'busy': {'active': 8},
         'half full': {'active': 10},
         'switching': {'switching': True},
+        'of version 2': {'version': 2},
+        'far, of version 2': {'version': 2},
     }
     upstream = Upstream(_entry(name, **entries.get(described, {})))
     if 'never reported' not in described:
@@ -111,6 +114,11 @@
     }
 
 
+@given('dispatch knows that version {version:d} was declared {ago:g} s ago')
+def knows_declared(context, version, ago):
+    context.state.targets = {'m': {version: _NOW_S - ago}}
+
+
 def _choose(context):
     return decisions.choose(
         context.state,
--- a/tests/steps/presence_steps.py
+++ b/tests/steps/presence_steps.py
@@ -37,6 +37,7 @@
     fields = {
         'older': {'version': 1},
         'empty': {'version': 0},
+        'loading': {'version': 0, 'switching': True},
         'switched': {'version': 2},
         'unreachable': {'version': 1, 'reachable': False},
     }[state]
