Watch the callers of non-idempotent requests until the request is sent

Ruled out: ending it at the worker too; the action is wanted all the same, and a second one must not follow.

--- a/apricotpin/components/gateway/application.py
+++ b/apricotpin/components/gateway/application.py
@@ -126,14 +126,15 @@
 
     def _run(self, job: Job) -> Result[Attempt, Failure]:
         self._job = job
-        if job.resolved.route.kind is not RouteKind.NON_IDEMPOTENT:
-            # What may not be repeated is left to run: its caller may be gone
-            # while the action is wanted all the same.
-            self._watcher = gevent.spawn(
-                watch_caller,
-                self._raw.connection,
-                gevent.getcurrent(),
-            )
+        self._watcher = gevent.spawn(
+            watch_caller,
+            self._raw.connection,
+            gevent.getcurrent(),
+        )
+        if job.resolved.route.kind is RouteKind.NON_IDEMPOTENT:
+            # What may not be repeated is left to run once it is sent: its
+            # caller may be gone while the action is wanted all the same.
+            job.before_send = self._watcher.kill
         return serving.obtain(job)
 
     def _deliver(
--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -2,6 +2,7 @@
 
 import time
 import uuid
+from collections.abc import Callable
 from typing import Any, Final
 
 from loguru import logger
@@ -36,6 +37,7 @@
     """Own one request on its way through upstreams."""
 
     __slots__ = (
+        'before_send',
         'body',
         'codec',
         'current',
@@ -61,6 +63,8 @@
         self.body = body
         self.progress = progress
         self.current: Attempt | None = None
+        # Called each time before the request is sent to an upstream.
+        self.before_send: Callable[[], Any] | None = None
 
     def abandon(self) -> None:
         """Cancel the attempt in progress, if there is one."""
@@ -205,6 +209,8 @@
         deadline_s,
         reused,
     )
+    if job.before_send is not None:
+        job.before_send()
     failed = attempt.exchange.send(_encode(job, attempt.picked))
     failed = failed or attempt.exchange.read_head()
     return failed or _read_answer(job, attempt)
