--- a/apricotpin/components/relay/service.py
+++ b/apricotpin/components/relay/service.py
@@ -9,7 +9,7 @@
 from apricotpin.components.relay import const
 from apricotpin.components.relay.events import Fetched, NextFetch
 from apricotpin.components.relay.sources import Sources
-from apricotpin.components.relay.state import Holding
+from apricotpin.components.relay.state import Demand, Holding
 from apricotpin.components.relay.workers import fetch_pieces
 from apricotpin.core import Kernel, Reply
 from apricotpin.errors import ErrorKind, Failure
@@ -73,7 +73,8 @@
         target = message.target
         self._declared[target.model] = target.version
         if message.known_for_s >= 0 and self._sources.leads(target):
-            self._fetch_all(self.holding(target.model, target.version))
+            holding = self.holding(target.model, target.version)
+            self._raise_demand(holding, Demand.ALL)
         reply.ok()
 
     def take_report(self, report: fleet.LoadReport, reply: Reply) -> None:
@@ -86,7 +87,8 @@
         held = self._sources.take_report(report, now_s)
         settled = now_s - self._started_s > const.SETTLE_S
         if held is not None and settled and self._lacks(held):
-            self._fetch_all(self.holding(held.model, held.version))
+            holding = self.holding(held.model, held.version)
+            self._raise_demand(holding, Demand.NEAR)
         reply.ok()
 
     def fetch_chunk(self, message: FetchChunk, reply: Reply) -> None:
@@ -101,7 +103,7 @@
             return
         holding = self.holding(*key)
         if message.index != const.MANIFEST_INDEX:
-            self._fetch_all(holding)
+            self._raise_demand(holding, Demand.ALL)
         content = holding.content.get(message.index)
         if content is not None:
             reply.ok(ChunkAnswer(const.STATUS_OK, content))
@@ -115,9 +117,9 @@
         )
 
     def is_fetching(self, model: str, version: int) -> bool:
-        """Tell whether all pieces of a version are here or on their way."""
+        """Tell whether the pieces of a version are here or on their way."""
         holding = self._holdings.get((model, version))
-        return holding is not None and holding.eager
+        return holding is not None and holding.demand > Demand.MANIFEST
 
     def holding(self, model: str, version: int) -> Holding:
         """Return what is held of a version; one not known yet is begun."""
@@ -141,11 +143,15 @@
     def next_fetch(self, message: NextFetch, reply: Reply) -> None:
         """Answer a worker with what to fetch, once there is something."""
         holding = message.holding
-        if not holding.wanted:
-            holding.idle_workers.append(reply)
-            return
-        index = holding.wanted.popleft()
-        reply.ok(self._sources.next_fetch(holding, index))
+        while holding.wanted:
+            index = holding.wanted.popleft()
+            if index in holding.content:
+                continue
+            fetch = self._sources.next_fetch(holding, index)
+            if fetch is not None:
+                reply.ok(fetch)
+                return
+        holding.idle_workers.append(reply)
 
     def take_fetched(self, message: Fetched, reply: Reply) -> None:
         """Keep a checked piece and pass it on to those who wait."""
@@ -157,8 +163,7 @@
             return
         content = message.content.ok_value
         if not _is_sound(holding, index, content):
-            self._note_bad(message)
-            self._want(holding, index)
+            self._take_bad(message)
             return
         holding.content[index] = content
         kind = 'origin' if message.source == const.ORIGIN else 'peer'
@@ -185,14 +190,14 @@
     def _take_manifest(self, holding: Holding, content: bytes) -> None:
         known = bool(holding.digests)
         holding.digests = json.loads(content)['digests']
-        if holding.eager and not known:
+        if not known and holding.demand > Demand.MANIFEST:
             self._want_pieces(holding)
 
-    def _fetch_all(self, holding: Holding) -> None:
-        """Fetch all pieces: who asks for one asks for the others next."""
-        if holding.eager:
+    def _raise_demand(self, holding: Holding, demand: Demand) -> None:
+        """Fetch pieces: who asks for one asks for the others next."""
+        if holding.demand >= demand:
             return
-        holding.eager = True
+        holding.demand = demand
         if holding.digests:
             self._want_pieces(holding)
 
@@ -201,8 +206,11 @@
             if index not in holding.content:
                 self._want(holding, index)
 
-    def _note_bad(self, message: Fetched) -> None:
+    def _take_bad(self, message: Fetched) -> None:
         holding, index = message.holding, message.index
+        if message.source != const.ORIGIN and holding.demand is Demand.NEAR:
+            # A staged piece that turned bad says nothing of the others.
+            return
         self._sources.suspect(
             message.source,
             Failure(ErrorKind.CHUNK_CORRUPT, f'index={index}'),
@@ -213,13 +221,16 @@
             holding.bad.clear()
             holding.content.pop(const.MANIFEST_INDEX, None)
             self._want(holding, const.MANIFEST_INDEX)
+        self._want(holding, index)
 
     def _want(self, holding: Holding, index: int) -> None:
-        if holding.idle_workers:
-            worker = holding.idle_workers.pop()
-            worker.ok(self._sources.next_fetch(holding, index))
-        else:
-            holding.wanted.append(index)
+        if not holding.idle_workers:
+            if index not in holding.wanted:
+                holding.wanted.append(index)
+            return
+        fetch = self._sources.next_fetch(holding, index)
+        if fetch is not None:
+            holding.idle_workers.pop().ok(fetch)
 
 
 def _is_sound(holding: Holding, index: int, content: bytes) -> bool:
--- a/apricotpin/components/relay/sources.py
+++ b/apricotpin/components/relay/sources.py
@@ -7,7 +7,7 @@
 from apricotpin.components.relay import const, decisions
 from apricotpin.components.relay.events import Fetch
 from apricotpin.components.relay.holders import Holders
-from apricotpin.components.relay.state import Holding
+from apricotpin.components.relay.state import Demand, Holding
 from apricotpin.errors import Failure
 from apricotpin.messages.desired import DesiredState, ModelVersion
 from apricotpin.messages.feeds import EntryHost
@@ -56,14 +56,25 @@
         chain = decisions.chain_of(self.hosts, self._origin_place, key)
         return decisions.leads(self._own, chain)
 
-    def next_fetch(self, holding: Holding, index: int) -> Fetch:
-        """Return from whom to fetch a piece now."""
+    def next_fetch(self, holding: Holding, index: int) -> Fetch | None:
+        """Return from whom to fetch a piece now.
+
+        One that nobody asked for is taken from agents alone, or not at all.
+        """
         now_s = time.monotonic()
-        sources = self._order(holding, index, now_s)
-        source = next(
-            (one for one in sources if self._suspects.get(one, 0) < now_s),
-            sources[0],
-        )
+        agents = self._holders.of_version(holding.model, holding.version, now_s)
+        sources = self._order(holding, decisions.share_out(agents, index))
+        is_piece = index != const.MANIFEST_INDEX
+        near_only = is_piece and holding.demand is not Demand.ALL
+        usable = [
+            one
+            for one in sources
+            if self._suspects.get(one, 0) < now_s
+            and (one in agents or not near_only)
+        ]
+        if near_only and not usable:
+            return None
+        source = usable[0] if usable else sources[0]
         wait_ms = 0
         if decisions.may_wait(sources, source):
             wait_ms = const.FETCH_WAIT_MS
@@ -84,16 +95,14 @@
     def _order(
         self,
         holding: Holding,
-        index: int,
-        now_s: float,
+        agents: tuple[str, ...],
     ) -> list[str]:
-        agents = self._holders.of_version(holding.model, holding.version, now_s)
         return decisions.sources_of(
             self._own,
             self.hosts,
             self._origin_place,
             _key(holding.model, holding.version),
-            decisions.share_out(agents, index),
+            agents,
         )
 
 
--- a/apricotpin/components/relay/state.py
+++ b/apricotpin/components/relay/state.py
@@ -1,5 +1,6 @@
 """What a relay holds of one version."""
 
+import enum
 import time
 from collections import deque
 
@@ -7,14 +8,26 @@
 from apricotpin.core import Reply
 
 
+class Demand(enum.IntEnum):
+    """Say how much of a version is fetched, and at what price.
+
+    NEAR takes pieces from agents of the data centre, and leaves out what
+    these can't give.
+    """
+
+    MANIFEST = 0
+    NEAR = 1
+    ALL = 2
+
+
 class Holding:
     """Hold what is known of one version of a model's weights."""
 
     __slots__ = (
         'bad',
         'content',
+        'demand',
         'digests',
-        'eager',
         'idle_workers',
         'model',
         'started_s',
@@ -30,8 +43,7 @@
         # Content by index; the manifest has the index -1.
         self.content: dict[int, bytes] = {}
         self.digests: list[str] = []
-        # Whether all pieces are fetched, not the manifest alone.
-        self.eager = False
+        self.demand = Demand.MANIFEST
         self.wanted: deque[int] = deque([const.MANIFEST_INDEX])
         self.waiting: dict[int, list[Reply]] = {}
         self.idle_workers: list[Reply] = []
--- a/tests/platform_fleet.py
+++ b/script/platform_fleet.py
@@ -1,4 +1,4 @@
-"""A small fleet on loopback: real processes before stand-ins."""
+"""A small fleet on loopback: real processes before the platform's stand-ins."""
 
 import os
 import pathlib
@@ -19,6 +19,7 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 READY_S = 15.0
+ZONE = 'zone-a'
 _POLL_S = 0.05
 BOUNDS = {
     'config_apply_ms': 2000,
@@ -52,14 +53,14 @@
         self.store_address = self._serve(f'{network}.0.1', 8007, self.store)
         self.origin_address = self._serve(f'{network}.0.2', 8006, self.origin)
 
-    def add_worker(self, number, version=1, listed=True):
+    def add_worker(self, number, version=1, listed=True, zone=ZONE):
         """Start a worker; its machine has the address of its number."""
         name = f'worker-{number}'
         worker = PlatformWorker(name, version)
         address = self._serve(f'{self.network}.1.{number}', 8001, worker)
         self.workers[name] = worker
         if listed:
-            self.list_worker(name, address)
+            self.list_worker(name, address, zone=zone)
         return address
 
     def list_worker(self, name, address, **changed):
@@ -67,7 +68,7 @@
         entry = {
             'service': 'drafting',
             'address': address,
-            'zone': 'zone-a',
+            'zone': ZONE,
             'slots': 4,
             'state': 'ready',
             **self.workers[name].loaded(),
@@ -110,7 +111,7 @@
                 {
                     'name': 'origin',
                     'origin': self.origin_address,
-                    'zone': 'zone-a',
+                    'zone': ZONE,
                 },
             ],
             'tenants': [{'name': 'tenant-1', 'api_keys': ['key-1']}],
@@ -119,16 +120,16 @@
         self._version += 1
         self.store.put('keyed.op', 'config', state)
 
-    def start(self, name, machine_class, number):
+    def start(self, name, machine_class, number, zone=ZONE):
         """Start a process of the product."""
         ip = f'{self.network}.{2 if machine_class == "edge" else 1}.{number}'
         settings = {
             'node_name': name,
             'machine_class': machine_class,
             'ip': ip,
-            'zone': 'zone-a',
-            'region': 'region-a',
-            'zones': {'zone-a': 'region-a'},
+            'zone': zone,
+            'region': f'region-of-{zone}',
+            'zones': {zone: f'region-of-{zone}'},
             'listen': {'frontend': f'{ip}:8005', 'ready': f'{ip}:8002'},
             'internal_ports': [7700, 7715],
             'platform': {'address': self.store_address},
--- a/tests/components/relay/sources.feature
+++ b/tests/components/relay/sources.feature
@@ -74,6 +74,21 @@
       | leads   | 1   | 1        | 1    | does not fetch  |
       | follows | 4   | 1        | 1    | does not fetch  |
 
+  Scenario Outline: an agent <failure> a piece that nobody asked for
+    Given relay with 2 hosts in each of 1 data centres
+    And relay runs on a host that leads and started 4 s ago
+    And relay knows that version 1 was declared long ago
+    When relay hears of an agent that holds version 1
+    Then relay sends its worker for the manifest to the origin
+    And relay sends its worker for piece 0 to an agent
+    And relay, when the agent <failure> it, next fetches <next>
+
+    Examples:
+      # A copy kept for later must not be paid for at the origin.
+      | failure | next    |
+      | spoils  | piece 1 |
+      | refuses | nothing |
+
   Scenario: a host that leads takes pieces from agents and the manifest from others
     Given relay with 2 hosts in each of 1 data centres
     And relay runs on a host that leads and started 4 s ago
--- a/tests/steps/claims_steps.py
+++ b/tests/steps/claims_steps.py
@@ -1,7 +1,8 @@
 """Steps for the decisions of the claims component."""
 
 from behave import given, then, when
-from hypothesis import HealthCheck, given as given_plans, settings, strategies
+from hypothesis import HealthCheck, settings, strategies
+from hypothesis import given as given_plans
 
 from apricotpin.components.claims import effects
 from apricotpin.components.claims.state import Rules
--- a/tests/steps/configuration_steps.py
+++ b/tests/steps/configuration_steps.py
@@ -1,8 +1,8 @@
 """Steps for the decisions of the configuration component."""
 
 from behave import given, then, when
-from hypothesis import HealthCheck, given as drawn, settings
-from hypothesis import strategies
+from hypothesis import HealthCheck, settings, strategies
+from hypothesis import given as drawn
 
 from apricotpin.components.configuration import const
 from apricotpin.components.configuration.bundle import (
--- a/tests/steps/members_steps.py
+++ b/tests/steps/members_steps.py
@@ -1,8 +1,8 @@
 """Steps for the decisions of the members component."""
 
 from behave import given, then, when
-from hypothesis import HealthCheck, given as drawn, settings
-from hypothesis import strategies
+from hypothesis import HealthCheck, settings, strategies
+from hypothesis import given as drawn
 
 from apricotpin.components.members import reports, sweeping, syncing, table
 from apricotpin.messages.hosts import Host, SyncHosts
--- a/tests/steps/platform_fleet_steps.py
+++ b/tests/steps/platform_fleet_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 from gevent import sleep, socket, spawn
 
-from tests.platform_fleet import (
+from script.platform_fleet import (
     Fleet,
     is_ready,
     log_lines,
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -13,7 +13,7 @@
 from apricotpin.platform.operator_documents import operator_entry
 from apricotpin.platform.settings_file import read_settings
 from apricotpin.platform.worker_documents import upstream_entry
-from tests.platform_fleet import BOUNDS
+from script.platform_fleet import BOUNDS
 
 _WORKER = {
     'service': 'drafting',
--- a/tests/steps/presence_steps.py
+++ b/tests/steps/presence_steps.py
@@ -4,8 +4,8 @@
 
 from apricotpin.components.presence import decisions
 from apricotpin.helpers.wire import decode_datagram, encode_datagram
-from apricotpin.messages.fleet import EntryHello, WeightsTarget
 from apricotpin.messages.desired import RouteKind
+from apricotpin.messages.fleet import EntryHello, WeightsTarget
 from tests.steps.dispatch_steps import make_report
 from tests.steps.routes_steps import make_route, make_state
 
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -5,12 +5,13 @@
 
 from behave import given, then, when
 from gevent.event import AsyncResult
-from result import Ok
+from result import Err, Ok
 
 from apricotpin.components.relay import decisions, events
 from apricotpin.components.relay.holders import Holders
 from apricotpin.components.relay.service import RelayService
 from apricotpin.core import Kernel, Reply
+from apricotpin.errors import ErrorKind, Failure
 from apricotpin.messages import desired
 from apricotpin.messages.feeds import EntryHost
 from apricotpin.messages.fleet import EntryHostsChanged, LoadReport
@@ -196,8 +197,8 @@
 
 @then('relay {fetches} version {version:d}')
 def fetches_version(context, fetches, version):
-    eager = context.relay.is_fetching('m', version)
-    assert eager == (fetches == 'fetches')
+    fetching = context.relay.is_fetching('m', version)
+    assert fetching == (fetches == 'fetches')
 
 
 def _next_fetch(context):
@@ -216,6 +217,22 @@
     context.relay.take_fetched(fetched, Reply())
 
 
+@then('relay, when the agent {failure} it, next fetches {following}')
+def after_failure(context, failure, following):
+    holding = context.relay.holding('m', 1)
+    content = {
+        'spoils': Ok(b'spoilt'),
+        'refuses': Err(Failure(ErrorKind.CHUNK_NOT_YET, '')),
+    }[failure]
+    fetched = events.Fetched(holding, 0, '10.9.0.1:7700', content)
+    context.relay.take_fetched(fetched, Reply())
+    waiter = AsyncResult()
+    context.relay.next_fetch(events.NextFetch(holding), Reply(waiter))
+    index = waiter.get(block=False).ok_value.index if waiter.ready() else None
+    found = 'nothing' if index is None else f'piece {index}'
+    assert found == following, found
+
+
 @then('relay sends its worker for piece {index:d} to an agent')
 def piece_from_agent(context, index):
     _, fetch = _next_fetch(context)
--- a/tests/steps/weights_steps.py
+++ b/tests/steps/weights_steps.py
@@ -3,7 +3,8 @@
 import math
 
 from behave import given, then
-from hypothesis import HealthCheck, given as for_all, settings, strategies
+from hypothesis import HealthCheck, settings, strategies
+from hypothesis import given as for_all
 
 from apricotpin.components.weights.topology import Shape
 from tests.weights_loop import Loop, Plan, fetch_naively
