Let the first group finish a version that meets its own bound

Ruled out: finishing in every group, which leaves no worker on version 3 at version 2's successor's bound where the origin stays.

--- a/apricotpin/components/installer/versions.py
+++ b/apricotpin/components/installer/versions.py
@@ -141,7 +141,9 @@
     The one in progress is finished where the newer one can follow it within
     the time that is left for that, spare_s: otherwise no worker may serve
     between the bound of the one in progress and the arrival of the newer.
-    One that waits for its turn costs the newer one no time.
+    One that waits for its turn costs the newer one no time. The group that
+    switches first finishes a version that comes in time for its own bound in
+    any case, since the origin may deliver nothing of the newer one.
     """
     if install is None:
         return True
@@ -151,7 +153,10 @@
         return True
     if install.finish_first or install.stock.is_complete:
         return False
-    return left_s(install, now_s) + copy_s(install, now_s) > spare_s
+    left = left_s(install, now_s)
+    if install.group == 0 and now_s + left <= install.switch_by_s:
+        return False
+    return left + copy_s(install, now_s) > spare_s
 
 
 def copy_s(install: Install, now_s: float) -> float:
--- a/tests/components/installer/decisions.feature
+++ b/tests/components/installer/decisions.feature
@@ -43,23 +43,27 @@
       | older  | 1    | 0      | 0.9     | wait   |
       | empty  | 0    | 0      | 0       | start  |
 
-  Scenario Outline: version 3 with <spare> s left <relation> version 2, <pieces> of 4 pieces after <after> s
+  Scenario Outline: version 3 with <spare> s left <relation> version 2, <pieces> of 4 pieces after <after> s in group <group>
     Given installer with a worker <worker> and <pieces> of 4 pieces in turn 0
-    When installer hears after <after> s of version 3 with <spare> s left for it
+    When installer in group <group> hears after <after> s of version 3 with <spare> s left for it
     Then installer <relation> the version in progress
 
     Examples:
       # Skipping a version leaves a gap between its bound and the newer one's
       # arrival; finishing it may leave too little time for the newer one.
-      | worker    | pieces | after | spare | relation |
-      | older     | 0      | 1     | 6.2   | replaces |
-      | older     | 1      | 1     | 6.2   | replaces |
-      | older     | 2      | 2     | 6.2   | finishes |
-      | older     | 2      | 2     | 5.9   | replaces |
-      | older     | 3      | 3     | 6.2   | finishes |
-      | older     | 4      | 4     | 6.2   | finishes |
-      | older     | 4      | 4     | 3.9   | finishes |
-      | installed | 4      | 4     | 6.2   | replaces |
+      | worker    | pieces | after | spare | group | relation |
+      | older     | 0      | 1     | 6.2   | 1     | replaces |
+      | older     | 1      | 1     | 6.2   | 1     | replaces |
+      | older     | 2      | 2     | 6.2   | 1     | finishes |
+      | older     | 2      | 2     | 5.9   | 1     | replaces |
+      | older     | 3      | 3     | 6.2   | 1     | finishes |
+      | older     | 4      | 4     | 6.2   | 1     | finishes |
+      | older     | 4      | 4     | 3.9   | 1     | finishes |
+      | installed | 4      | 4     | 6.2   | 1     | replaces |
+      # The origin may go away with the newer version.
+      | older     | 0      | 1     | 6.2   | 0     | replaces |
+      | older     | 1      | 1     | 6.2   | 0     | finishes |
+      | older     | 1      | 2     | 6.2   | 0     | replaces |
 
   Scenario Outline: with version 2 <state> and version 3 <parked>, version <version> is fetched
     Given installer with a worker older and <pieces> of 4 pieces in turn 1
--- a/tests/steps/installer_steps.py
+++ b/tests/steps/installer_steps.py
@@ -104,11 +104,12 @@
 
 
 @when(
-    'installer hears after {after:g} s of version 3 with {spare:g} s '
-    'left for it'
+    'installer in group {group:d} hears after {after:g} s of version 3 '
+    'with {spare:g} s left for it'
 )
-def hears(context, after, spare):
+def hears(context, group, after, spare):
     now_s = _BEGUN_S + after
+    context.install.group = group
     context.install.stock.progress_s = now_s
     context.replaces = versions.supersedes(
         context.install, context.view, 3, spare, now_s
