--- a/script/demo_platform.py
+++ b/script/demo_platform.py
@@ -53,7 +53,7 @@
                 return
             name = f'req-{next(self.numbers)}'
             answer = send(ip, path, name, method=method)
-            self.ended[_outcome(answer, path)] += 1
+            self.ended[outcome_of(answer, path)] += 1
 
 
 def main() -> None:
@@ -84,7 +84,7 @@
     took_s = time.monotonic() - declared_s
     gevent.sleep(_AFTER_S)
     traffic.stopped = True
-    return _figures(fleet, traffic, took_s)
+    return figures_of(fleet, traffic, took_s)
 
 
 def _start(fleet: Any) -> list[str]:
@@ -107,7 +107,8 @@
     return versions == {_NEW_VERSION}
 
 
-def _outcome(answer: Any, path: str) -> str:
+def outcome_of(answer: Any, path: str) -> str:
+    """Return what a caller saw."""
     if answer.body is None:
         return 'lost'
     if answer.status != 200:
@@ -117,7 +118,8 @@
     return 'ok'
 
 
-def _figures(fleet: Any, traffic: Traffic, took_s: float) -> str:
+def figures_of(fleet: Any, traffic: Traffic, took_s: float) -> str:
+    """Return the line of figures, which ends with the verdict."""
     runs = Counter(
         name for worker in fleet.workers.values() for name in worker.ran
     )
