Take back streams that have not begun by a version's bound, and check staged pieces by a clock that counts suspensions

Requests go to an older version until 0.8 s before it, and in the seconds before the bound of version 2 a third of the workers held it, so that requests waited at the others for up to 2 s (p99 of the windows). Ruled out: a longer margin, which costs every switch what few requests need. Change: dispatch names until when a stream may begin on the version of the worker that it picks; a gateway that has no event by then takes the request back and asks for another worker. The age counts from the begin of the check, and a suspension ends it.

--- a/apricotpin/components/dispatch/const.py
+++ b/apricotpin/components/dispatch/const.py
@@ -33,6 +33,9 @@
 # Sending to an older version ends this long before the bound, for the time
 # that a request waits at the worker.
 VERSION_MARGIN_S: Final = 0.8
+# A stream that has not begun on an older version by this long before the
+# bound is taken back, for the way to the worker.
+BEGIN_MARGIN_S: Final = 0.15
 # Part of the shared retry budget that one host may use of its even share,
 # for clocks and host lists that disagree.
 BUDGET_SHARE: Final = 0.7
--- a/apricotpin/components/dispatch/decisions.py
+++ b/apricotpin/components/dispatch/decisions.py
@@ -169,6 +169,31 @@
     )
 
 
+def begin_by_s(
+    state: DispatchState,
+    upstream: Upstream,
+    now_s: float,
+) -> float | None:
+    """Return until when a stream may begin on the version of a worker.
+
+    A request waits at a busy worker for longer than any margin foresees.
+    """
+    spec = state.services.get(upstream.entry.service)
+    if spec is None or spec.engine is None:
+        return None
+    version = version_of(upstream, spec.engine, now_s)
+    longest_s = state.bounds.version_s - const.BEGIN_MARGIN_S
+    bounds = [
+        since_s + longest_s
+        for declared, since_s in state.targets.get(
+            spec.engine.model,
+            {},
+        ).items()
+        if declared > version
+    ]
+    return min(bounds, default=None)
+
+
 def note_report(upstream: Upstream, report: LoadReport, now_s: float) -> None:
     """Take an agent's report; what exceeds the own attempts is of others."""
     upstream.report = report
--- a/apricotpin/components/dispatch/service.py
+++ b/apricotpin/components/dispatch/service.py
@@ -201,6 +201,7 @@
             load,
             now_s - upstream.reported_s,
             ticket,
+            decisions.begin_by_s(self._state, upstream, now_s),
         )
 
     def _serve_waiters(self) -> None:
--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -206,7 +206,7 @@
         connection,
         job.head.method,
         decisions.silent_s(job.progress, now_s),
-        deadline_s,
+        min(deadline_s, attempt.picked.begin_by_s or deadline_s),
         reused,
     )
     if job.before_send is not None:
@@ -250,6 +250,7 @@
     if events.is_err():
         return events.err_value
     attempt.first_part = events.ok_value
+    attempt.exchange.extend(job.progress.deadline_s)
     attempt.exchange.set_silence(const.EVENT_SILENT_S)
     return Verdict.ANSWERED
 
--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -36,8 +36,10 @@
 # that the entry hosts hold: the origin may be away.
 STALL_S: Final = 1.0
 # What is staged may turn bad, so it is read again before an order if that
-# was longer ago than this; a worker may load what turned bad within 3 s.
+# began longer ago than this; a worker may load what turned bad within 3 s.
 CHECK_FRESH_S: Final = 2.0
+# A suspension is longer than this; less is the time between two clocks read.
+SUSPENSION_S: Final = 0.1
 # An order that had no effect after this time is given again.
 ORDER_EFFECT_S: Final = 6.0
 CALL_TIMEOUT_S: Final = 4.0
--- a/apricotpin/components/installer/decisions.py
+++ b/apricotpin/components/installer/decisions.py
@@ -130,13 +130,14 @@
     install: Install,
     action: Load,
     staged: dict[int, bytes],
+    begun_s: float,
     now_s: float,
 ) -> None:
     """Note a step at the worker that succeeded."""
     if action is Load.STAGE:
         install.stock.staged.update(staged)
     elif action is Load.CHECK:
-        install.stock.checked_s = now_s
+        install.stock.checked_s = begun_s
     elif action is Load.START:
         install.ordered_s = now_s
 
--- a/apricotpin/components/installer/events.py
+++ b/apricotpin/components/installer/events.py
@@ -64,15 +64,18 @@
 class LoadOrder:
     """Name a step at the worker; pieces holds content by index."""
 
-    __slots__ = ('action', 'digests', 'install', 'pieces')
+    __slots__ = ('action', 'begun_s', 'digests', 'install', 'pieces')
 
     def __init__(
         self,
         action: Load,
         install: Install,
         pieces: dict[int, bytes],
+        begun_s: float = 0,
     ) -> None:
         self.action = action
+        # When the step began, by the monotonic clock.
+        self.begun_s = begun_s
         self.install = install
         self.digests = tuple(install.stock.digests)
         self.pieces = pieces
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -21,6 +21,7 @@
 from apricotpin.components.installer.versions import Versions
 from apricotpin.const import SERVICE_PRESENCE
 from apricotpin.core import Kernel, Reply
+from apricotpin.helpers import clocks
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages.fleet import (
     AnnounceLoad,
@@ -34,6 +35,7 @@
     """Own the version to install and the state of the worker."""
 
     __slots__ = (
+        'suspended_s',
         '_entries',
         '_fetchers',
         '_kernel',
@@ -45,6 +47,8 @@
 
     def __init__(self, kernel: Kernel, settings: HostSettings) -> None:
         self._kernel = kernel
+        # How long the host was suspended, when it was last looked at.
+        self.suspended_s = clocks.suspended_s()
         self._settings = settings
         self._entries = Entries(settings.data_centre)
         self._view = WorkerView()
@@ -119,7 +123,13 @@
             decisions.note_scan(install, message.pieces, message.done, now_s)
             _log_if_complete(install)
         elif message.done:
-            decisions.note_step(install, action, message.pieces, now_s)
+            decisions.note_step(
+                install,
+                action,
+                message.pieces,
+                message.order.begun_s,
+                now_s,
+            )
         reply.ok()
         self._go_on()
 
@@ -187,13 +197,23 @@
         if install is None:
             return
         now_s = time.monotonic()
+        self._note_suspension(install)
         switching.note_draining(install, self._view, now_s)
         self._feed_fetchers(self._versions.wanted(), now_s)
         if self._loaders:
             action = decisions.next_load(install, self._view, now_s)
             if action is not decisions.Load.WAIT:
                 loader = self._loaders.pop()
-                loader.ok(_load_order(install, action))
+                loader.ok(_load_order(install, action, now_s))
+
+    def _note_suspension(self, install: Install) -> None:
+        """Check anew what lay at the worker while the host was suspended."""
+        suspended_s = clocks.suspended_s()
+        passed_s = suspended_s - self.suspended_s
+        self.suspended_s = suspended_s
+        if passed_s > const.SUSPENSION_S:
+            logger.bind(suspended_s=round(passed_s, 2)).info('host_suspended')
+            install.stock.checked_s = None
 
     def _feed_fetchers(self, install: Install, now_s: float) -> None:
         view = self._view
@@ -230,7 +250,11 @@
         ).info('pieces_complete')
 
 
-def _load_order(install: Install, action: decisions.Load) -> LoadOrder:
+def _load_order(
+    install: Install,
+    action: decisions.Load,
+    now_s: float,
+) -> LoadOrder:
     pieces: dict[int, bytes] = {}
     if action is decisions.Load.STAGE:
         pieces = {
@@ -240,4 +264,4 @@
         }
     elif action is decisions.Load.CHECK:
         pieces = dict(install.stock.pieces)
-    return LoadOrder(action, install, pieces)
+    return LoadOrder(action, install, pieces, now_s)
--- a/apricotpin/components/installer/state.py
+++ b/apricotpin/components/installer/state.py
@@ -8,7 +8,8 @@
 
     pieces holds checked content; scanned holds once the worker's staged
     pieces were looked through; progress_s is when the last piece came, and
-    checked_s when all that is staged was found right, None if never.
+    checked_s when a check that found all that is staged right began, None
+    if there was none.
     """
 
     __slots__ = (
--- a/apricotpin/components/installer/versions.py
+++ b/apricotpin/components/installer/versions.py
@@ -114,6 +114,7 @@
             now_s,
             switch_by_s,
         )
+        install.switch_by_s = switch_by_s
         install.stock.progress_s = now_s
         if before is not None:
             # Until an entry host names the turn, later groups wait.
--- /dev/null
+++ b/apricotpin/helpers/clocks.py
@@ -0,0 +1,12 @@
+"""Clocks that tell more than the monotonic one."""
+
+import time
+
+
+def suspended_s() -> float:
+    """Return for how long the host was suspended since it booted.
+
+    The monotonic clock stands still meanwhile, so an age that it gives is
+    too small after a suspension.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
--- a/apricotpin/messages/upstreams.py
+++ b/apricotpin/messages/upstreams.py
@@ -113,11 +113,13 @@
 class Picked:
     """Name the upstream of an attempt, and an idle connection if one is open.
 
-    load and load_age_s tell what the choice rests on.
+    load and load_age_s tell what the choice rests on. A stream must have
+    begun by begin_by_s of the monotonic clock, None where any time will do.
     """
 
     __slots__ = (
         'address',
+        'begin_by_s',
         'connection',
         'instance_id',
         'load',
@@ -135,8 +137,10 @@
         load: int,
         load_age_s: float,
         ticket: str,
+        begin_by_s: float | None = None,
     ) -> None:
         self.ticket = ticket
+        self.begin_by_s = begin_by_s
         self.instance_id = instance_id
         self.address = address
         self.connection = connection
--- a/tests/components/dispatch/choice.feature
+++ b/tests/components/dispatch/choice.feature
@@ -64,6 +64,19 @@
       | 2    | 1        | 99    | allowed   |
       | 2    | 3        | 9     | forbidden |
 
+  Scenario Outline: a stream on version <held> with <declared> known for <known> s begins within <left>
+    # A request that waits at a busy worker may begin after the bound.
+    Given dispatch knows a worker that is of version <held>
+    And dispatch knows that version <declared> was declared <known> s ago
+    When dispatch computes until when a stream may begin
+    Then dispatch lets it begin within <left>
+
+    Examples:
+      | held | declared | known | left     |
+      | 2    | 3        | 1     | 6.85     |
+      | 2    | 3        | 7     | 0.85     |
+      | 2    | 2        | 7     | any time |
+
   Scenario: a newer version does not prolong the bound of the one before it
     When dispatch judges version 1 with 2 known for 8 s and 3 for 1 s
     Then dispatch's version is forbidden
--- a/tests/components/gateway/leaving.feature
+++ b/tests/components/gateway/leaving.feature
@@ -14,3 +14,14 @@
       | non_idempotent | before it is sent  | does not send | does not cancel |
       | idempotent     | after it was sent  | sends         | cancels         |
       | non_idempotent | after it was sent  | sends         | does not cancel |
+
+  Scenario Outline: a stream must begin <by>
+    Given gateway serves a request that is resumable while dispatch looks for a worker
+    When gateway's worker has to begin <by> and is silent
+    Then gateway asked dispatch for <count> workers
+
+    Examples:
+      # It would begin on a version that may not be served any more.
+      | by          | count |
+      | in 0.05 s   | 2     |
+      | at any time | 1     |
--- a/tests/components/installer/decisions.feature
+++ b/tests/components/installer/decisions.feature
@@ -113,6 +113,17 @@
       | ordered   | 4      | 2    | 1     | switching |
       | installed | 4      | 0    | 1     | serving   |
 
+  Scenario Outline: what is staged counts as <checked> after a suspension of <suspended> s
+    Given installer has 30 pieces of version 2 when it hears of version 3
+    When installer's host was suspended for <suspended> s after a check
+    Then installer's staged pieces count as <checked>
+
+    Examples:
+      # The monotonic clock stands still while pieces may turn bad.
+      | suspended | checked   |
+      | 0         | checked   |
+      | 2         | unchecked |
+
   Scenario: an installer whose newer version does not come asks for the older
     Given installer has 30 pieces of version 2 when it hears of version 3
     When installer has waited 2 s in vain and a report arrives
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -171,6 +171,20 @@
     context.allowed = decisions.is_allowed(state, 'm', 1, _NOW_S)
 
 
+@when('dispatch computes until when a stream may begin')
+def compute_begin(context):
+    context.begin_by_s = decisions.begin_by_s(
+        context.state, context.state.upstreams['0'], _NOW_S
+    )
+
+
+@then('dispatch lets it begin within {left}')
+def begins_within(context, left):
+    found = context.begin_by_s
+    shown = 'any time' if found is None else f'{found - _NOW_S:.2f}'
+    assert shown == left, shown
+
+
 @then("dispatch's version is {fate}")
 def version_is(context, fate):
     assert context.allowed == (fate == 'allowed')
--- a/tests/steps/gateway_leaving_steps.py
+++ b/tests/steps/gateway_leaving_steps.py
@@ -1,6 +1,7 @@
 """Steps for callers that leave while their request is served."""
 
 import contextlib
+import time
 
 from behave import given, then, when
 from gevent import sleep, socket, spawn
@@ -48,7 +49,8 @@
         self.caller = ends[0]
         self.accepted = ends[1]
         self.picks = []
-        resolved = Resolved(make_route(kind=kind), 'plain', '', 3, 1)
+        route = make_route(kind=_KINDS[kind], resumable=kind == 'resumable')
+        resolved = Resolved(route, 'plain', '', 3, 1)
 
         def ignore(_message, reply):
             reply.ok()
@@ -79,10 +81,11 @@
         spawn(self._serve)
         sleep(_SETTLE_S)
 
-    def give_worker(self):
+    def give_worker(self, begin_by_s=None):
         """Let dispatch name the worker."""
         ticket, reply = self.picks[0]
-        reply.ok(Picked('w', self.upstream.address, None, 0, 0, 0, ticket))
+        address = self.upstream.address
+        reply.ok(Picked('w', address, None, 0, 0, 0, ticket, begin_by_s))
         sleep(_SETTLE_S)
 
     def leave(self):
@@ -112,7 +115,7 @@
     'gateway serves a request that is {kind} while dispatch looks for a worker'
 )
 def serves(context, kind):
-    context.world = _World(_KINDS[kind])
+    context.world = _World(kind)
     context.cleanups = [context.world.close]
 
 
@@ -126,6 +129,17 @@
         context.world.leave()
 
 
+@when("gateway's worker has to begin {by} and is silent")
+def has_to_begin(context, by):
+    begin_by_s = None if by == 'at any time' else time.monotonic() + 0.05
+    context.world.give_worker(begin_by_s)
+
+
+@then('gateway asked dispatch for {count:d} workers')
+def asked_for(context, count):
+    assert len(context.world.picks) == count, context.world.picks
+
+
 @then('gateway {sends} the request to the worker')
 def sends_request(context, sends):
     count = 1 if sends == 'sends' else 0
--- a/tests/steps/installer_steps.py
+++ b/tests/steps/installer_steps.py
@@ -210,6 +210,21 @@
     context.installer = installer
 
 
+@when("installer's host was suspended for {suspended:g} s after a check")
+def suspended_for(context, suspended):
+    install = _ask_piece(context.installer).install
+    install.stock.checked_s = _BEGUN_S
+    context.installer.suspended_s -= suspended
+    context.install = install
+    _hear(context.installer, 3)
+
+
+@then("installer's staged pieces count as {checked}")
+def staged_count_as(context, checked):
+    found = context.install.stock.checked_s is not None
+    assert found == (checked == 'checked')
+
+
 @when('installer has waited {waited:d} s in vain and a report arrives')
 def waited_in_vain(context, waited):
     newest = _ask_piece(context.installer).install
