Bound only a stream's begin, and fetch nothing more of a dropped version

Found when reading the change: an answer that is no stream would have been cut at the bound of a version, although its begin is not seen; and a relay that holds two newer versions began an older one anew for each piece that was asked for, with four fetchers each time, whose fetchers went on after it was dropped.

--- a/apricotpin/components/dispatch/const.py
+++ b/apricotpin/components/dispatch/const.py
@@ -17,10 +17,10 @@
 # What a worker that is about to switch weights, or that fails all its
 # requests, costs in the same measure.
 SWITCHING_COST: Final = 4.0
-# A worker that is behind another's version is cut off before long, with the
-# streams that run at it.
-BEHIND_COST: Final = 0.45
 FAILURE_COST: Final = 3.0
+# A worker that holds an older version switches before long, and cuts off the
+# streams that still run at it.
+BEHIND_COST: Final = 0.45
 # Share of the failure score that one attempt replaces.
 FAILURE_WEIGHT: Final = 0.25
 # Spread of the random part that breaks ties between equal workers.
--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -206,7 +206,7 @@
         connection,
         job.head.method,
         decisions.silent_s(job.progress, now_s),
-        min(deadline_s, attempt.picked.begin_by_s or deadline_s),
+        decisions.begin_by_s(job.progress, attempt.picked.begin_by_s),
         reused,
     )
     if job.before_send is not None:
--- a/apricotpin/components/gateway/decisions.py
+++ b/apricotpin/components/gateway/decisions.py
@@ -191,6 +191,16 @@
     return left_s * const.IDEMPOTENT_SILENT_SHARE
 
 
+def begin_by_s(progress: Progress, allowed_s: float | None) -> float:
+    """Return until when an attempt waits for a stream's first event.
+
+    The begin of any other answer is not seen, so it may take its whole time.
+    """
+    if allowed_s is None or progress.route.kind is not RouteKind.STREAM:
+        return progress.deadline_s
+    return min(progress.deadline_s, allowed_s)
+
+
 def may_repeat_later(progress: Progress) -> bool:
     """Tell whether a second worker could follow the one being asked."""
     more = progress.sent + 1 < progress.route.max_attempts
--- a/apricotpin/components/relay/service.py
+++ b/apricotpin/components/relay/service.py
@@ -97,8 +97,10 @@
             reply.ok(ChunkAnswer(const.STATUS_UNKNOWN))
             return
         key = (message.model, int(message.version))
-        if key not in self._holdings and not message.wait_ms:
-            # The asker may be the one from whom this host would fetch.
+        is_dropped = _is_dropped(self._holdings, *key)
+        if is_dropped or (key not in self._holdings and not message.wait_ms):
+            # Without a wait, the asker may be the one from whom this host
+            # would fetch.
             reply.ok(ChunkAnswer(const.STATUS_NOT_YET))
             return
         holding = self.holding(*key)
@@ -143,6 +145,9 @@
     def next_fetch(self, message: NextFetch, reply: Reply) -> None:
         """Answer a worker with what to fetch, once there is something."""
         holding = message.holding
+        if self._holdings.get((holding.model, holding.version)) is not holding:
+            reply.err(ErrorKind.VERSION_UNKNOWN, 'superseded')
+            return
         while holding.wanted:
             index = holding.wanted.popleft()
             if index in holding.content:
@@ -233,6 +238,20 @@
             holding.idle_workers.pop().ok(fetch)
 
 
+def _is_dropped(
+    holdings: dict[tuple[str, int], Holding],
+    model: str,
+    version: int,
+) -> bool:
+    """Tell whether a version gave way to newer ones."""
+    newer = [
+        number
+        for name, number in holdings
+        if name == model and number > version
+    ]
+    return len(newer) >= const.VERSIONS_KEPT
+
+
 def _is_sound(holding: Holding, index: int, content: bytes) -> bool:
     if index != const.MANIFEST_INDEX:
         return matches_sha256(content, holding.digests[index])
--- a/tests/components/gateway/leaving.feature
+++ b/tests/components/gateway/leaving.feature
@@ -15,13 +15,15 @@
       | idempotent     | after it was sent  | sends         | cancels         |
       | non_idempotent | after it was sent  | sends         | does not cancel |
 
-  Scenario Outline: a stream must begin <by>
-    Given gateway serves a request that is resumable while dispatch looks for a worker
+  Scenario Outline: a request that is <kind> must begin <by>
+    Given gateway serves a request that is <kind> while dispatch looks for a worker
     When gateway's worker has to begin <by> and is silent
     Then gateway asked dispatch for <count> workers
 
     Examples:
       # It would begin on a version that may not be served any more.
-      | by          | count |
-      | in 0.05 s   | 2     |
-      | at any time | 1     |
+      | kind       | by          | count |
+      | resumable  | in 0.05 s   | 2     |
+      | resumable  | at any time | 1     |
+      # Cutting an answer whose begin is not seen would lose it.
+      | idempotent | in 0.05 s   | 1     |
--- a/tests/components/relay/sources.feature
+++ b/tests/components/relay/sources.feature
@@ -74,6 +74,22 @@
       | leads   | 1   | 1        | 1    | does not fetch  |
       | follows | 4   | 1        | 1    | does not fetch  |
 
+  Scenario Outline: versions <wanted> are wanted and version <asked> is asked for
+    Given relay with 2 hosts in each of 1 data centres
+    And relay runs on a host that leads and started 4 s ago
+    And relay knows that version 1 was declared long ago
+    When relay is asked for versions <wanted>
+    And relay's worker for the first of them asks for more
+    And relay is asked for version <asked>
+    Then relay's first worker <goes_on>
+    And relay holds versions <held>
+
+    Examples:
+      # A version that gave way must not be fetched on, nor begun anew.
+      | wanted  | asked | goes_on | held |
+      | 1, 2    | 1     | goes on | 1, 2 |
+      | 1, 2, 3 | 1     | ends    | 2, 3 |
+
   Scenario Outline: an agent <failure> a piece that nobody asked for
     Given relay with 2 hosts in each of 1 data centres
     And relay runs on a host that leads and started 4 s ago
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -15,6 +15,7 @@
 from apricotpin.messages import desired
 from apricotpin.messages.feeds import EntryHost
 from apricotpin.messages.fleet import EntryHostsChanged, LoadReport
+from apricotpin.messages.weights import FetchChunk
 
 _KEY = 'm/2'
 _HEARD_S = 100.0
@@ -201,6 +202,49 @@
     assert fetching == (fetches == 'fetches')
 
 
+def _ask(context, version):
+    asked = FetchChunk('m', str(version), 0, 100)
+    context.relay.fetch_chunk(asked, Reply())
+
+
+@when('relay is asked for versions {versions}')
+def ask_versions(context, versions):
+    numbers = [int(number) for number in versions.split(', ')]
+    _ask(context, numbers[0])
+    context.first = context.relay.holding('m', numbers[0])
+    for number in numbers[1:]:
+        _ask(context, number)
+
+
+@when("relay's worker for the first of them asks for more")
+def first_asks(context):
+    context.waiter = AsyncResult()
+    context.relay.next_fetch(
+        events.NextFetch(context.first), Reply(context.waiter)
+    )
+
+
+@when('relay is asked for version {version:d}')
+def ask_version(context, version):
+    _ask(context, version)
+
+
+@then("relay's first worker {fate}")
+def first_worker(context, fate):
+    ended = context.waiter.get(timeout=1).is_err()
+    assert ended == (fate == 'ends')
+
+
+@then('relay holds versions {versions}')
+def holds_versions(context, versions):
+    held = [
+        str(version)
+        for version in range(1, 4)
+        if context.relay.is_fetching('m', version)
+    ]
+    assert ', '.join(held) == versions, held
+
+
 def _next_fetch(context):
     holding = context.relay.holding('m', 1)
     waiter = AsyncResult()
