Order right after a check, however long the check took

The agents' logs showed all pieces there and turn=0, and no order: reading 64 staged pieces back took longer than the 2 s for which a check stays fresh since its age counts from its begin, so one check followed another. Ruled out: suspensions (no host_suspended), turns (0 in both data centres). Change: a check allows the order that follows it within 0.3 s in any case.

--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -38,6 +38,8 @@
 # What is staged may turn bad, so it is read again before an order if that
 # began longer ago than this; a worker may load what turned bad within 3 s.
 CHECK_FRESH_S: Final = 2.0
+# An order follows a check within this time.
+ORDER_AFTER_CHECK_S: Final = 0.3
 # A suspension is longer than this; less is the time between two clocks read.
 SUSPENSION_S: Final = 0.1
 # An order that had no effect after this time is given again.
--- a/apricotpin/components/installer/decisions.py
+++ b/apricotpin/components/installer/decisions.py
@@ -137,7 +137,10 @@
     if action is Load.STAGE:
         install.stock.staged.update(staged)
     elif action is Load.CHECK:
-        install.stock.checked_s = begun_s
+        # A check that took longer than it stays fresh allows the order that
+        # follows it at once.
+        oldest_s = now_s - const.CHECK_FRESH_S + const.ORDER_AFTER_CHECK_S
+        install.stock.checked_s = max(begun_s, oldest_s)
     elif action is Load.START:
         install.ordered_s = now_s
 
--- a/tests/components/installer/decisions.feature
+++ b/tests/components/installer/decisions.feature
@@ -43,6 +43,20 @@
       | older  | 1    | 0      | 0.9     | wait   |
       | empty  | 0    | 0      | 0       | start  |
 
+  Scenario Outline: a check that took <took> s, <after> s ago: <action>
+    Given installer with a worker empty and 4 of 4 pieces in turn 0
+    When installer ended a check that took <took> s and <after> s pass
+    Then installer's next step is <action>
+
+    Examples:
+      # On a slow host a check may take longer than it stays fresh.
+      | took | after | action |
+      | 0.1  | 0.1   | start  |
+      | 0.1  | 2.0   | check  |
+      | 1.5  | 0.6   | check  |
+      | 2.5  | 0.1   | start  |
+      | 2.5  | 0.6   | check  |
+
   Scenario Outline: version 3 with <spare> s left <relation> version 2, <pieces> of 4 pieces after <after> s in group <group>
     Given installer with a worker <worker> and <pieces> of 4 pieces in turn 0
     When installer in group <group> hears after <after> s of version 3 with <spare> s left for it
--- a/tests/steps/installer_steps.py
+++ b/tests/steps/installer_steps.py
@@ -79,6 +79,15 @@
     switching.note_draining(context.install, context.view, context.now_s)
 
 
+@when('installer ended a check that took {took:g} s and {after:g} s pass')
+def ended_check(context, took, after):
+    begun_s = _BEGUN_S - took
+    decisions.note_step(
+        context.install, decisions.Load.CHECK, {}, begun_s, _BEGUN_S
+    )
+    context.now_s = _BEGUN_S + after
+
+
 @when('installer drains a worker with {active:d} requests for {drained:g} s')
 def drain(context, active, drained):
     context.view.report.active = active
