Drop a constant that stood twice and one that nothing used

The engine of a service and the age of a declared version are each looked up by one function now; behaviour is the same.

--- a/apricotpin/components/dispatch/decisions.py
+++ b/apricotpin/components/dispatch/decisions.py
@@ -29,8 +29,7 @@
     urgent: bool = False,
 ) -> Result[Upstream, Failure]:
     """Return the upstream with the least expected wait."""
-    spec = state.services.get(service)
-    engine = None if spec is None else spec.engine
+    engine = state.engine_of(service)
     serving = [
         upstream
         for upstream in state.upstreams.values()
@@ -110,11 +109,11 @@
 
 def is_behind(state: DispatchState, upstream: Upstream, now_s: float) -> bool:
     """Tell whether a worker holds an older version than the newest declared."""
-    spec = state.services.get(upstream.entry.service)
-    if spec is None or spec.engine is None:
+    engine = state.engine_of(upstream.entry.service)
+    if engine is None:
         return False
-    declared = state.targets.get(spec.engine.model, {})
-    return version_of(upstream, spec.engine, now_s) < max(declared, default=0)
+    declared = state.targets.get(engine.model, {})
+    return version_of(upstream, engine, now_s) < max(declared, default=0)
 
 
 def load_of(upstream: Upstream, now_s: float) -> int:
@@ -178,17 +177,14 @@
 
     A request waits at a busy worker for longer than any margin foresees.
     """
-    spec = state.services.get(upstream.entry.service)
-    if spec is None or spec.engine is None:
+    engine = state.engine_of(upstream.entry.service)
+    if engine is None:
         return None
-    version = version_of(upstream, spec.engine, now_s)
+    version = version_of(upstream, engine, now_s)
     longest_s = state.bounds.version_s - const.BEGIN_MARGIN_S
     bounds = [
         since_s + longest_s
-        for declared, since_s in state.targets.get(
-            spec.engine.model,
-            {},
-        ).items()
+        for declared, since_s in state.targets.get(engine.model, {}).items()
         if declared > version
     ]
     return min(bounds, default=None)
--- a/apricotpin/components/dispatch/state.py
+++ b/apricotpin/components/dispatch/state.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from apricotpin.host_settings import Bounds
-from apricotpin.messages.desired import ServiceSpec
+from apricotpin.messages.desired import Engine, ServiceSpec
 from apricotpin.messages.fleet import LoadReport
 from apricotpin.messages.upstreams import UpstreamEntry
 
@@ -92,6 +92,11 @@
         """Return the counts of a service."""
         return self._windows.setdefault(service, Window())
 
+    def engine_of(self, service: str) -> Engine | None:
+        """Return the engine of a service, None where it runs no model."""
+        spec = self.services.get(service)
+        return None if spec is None else spec.engine
+
     def take(self, ticket: str, upstream: Upstream) -> None:
         """Count an attempt at an upstream."""
         upstream.own += 1
--- a/apricotpin/components/installer/versions.py
+++ b/apricotpin/components/installer/versions.py
@@ -28,8 +28,7 @@
     ) -> None:
         """Take a declared version, and the turn that a greeting names."""
         install = self.current
-        known_for_s = max(0, target.known_for_ms) / 1000
-        spare_s = self._bound_s - const.LOAD_RESERVE_S - known_for_s
+        spare_s = self._bound_s - const.LOAD_RESERVE_S - known_for_s(target)
         if supersedes(install, view, target.version, spare_s, now_s):
             install = self._begin(target, hello, view, now_s)
         elif target.version > install.version:
@@ -69,9 +68,8 @@
         drop_older(self._parked, view.version)
 
     def _switch_by_s(self, target: WeightsTarget, now_s: float) -> float:
-        known_for_s = max(0, target.known_for_ms) / 1000
         allowed_s = self._bound_s * const.SWITCH_LATEST_SHARE
-        return now_s - known_for_s + allowed_s
+        return now_s - known_for_s(target) + allowed_s
 
     def _park_next(
         self,
@@ -130,6 +128,11 @@
         return install
 
 
+def known_for_s(target: WeightsTarget) -> float:
+    """Return for how long a version is known; an unknown time counts as 0."""
+    return max(0, target.known_for_ms) / 1000
+
+
 def supersedes(
     install: Install | None,
     view: WorkerView,
--- a/apricotpin/components/relay/const.py
+++ b/apricotpin/components/relay/const.py
@@ -27,11 +27,6 @@
 IDLE_S: Final = 3600.0
 # Agents report several times a second; what one held longer ago may be gone.
 HOLDER_FRESH_S: Final = 1.5
-# Pause after a piece from an agent, as long as one takes on its link of some
-# 4 Mbit/s, so that the answers of its worker find every second slot free.
-AGENT_PAUSE_S: Final = 0.07
-# Agents report several times a second; what one held longer ago may be gone.
-HOLDER_FRESH_S: Final = 1.5
 # Entry hosts that start together know each other and the agents after this
 # time, so that only one of a data centre copies from agents.
 SETTLE_S: Final = 3.0
