Log what a choice of version rested on and when the worker began

upstream_picked now has the version used and behind_ms; request_ended, stream_resumed and attempt_failed have waited_ms and served_version. A stream taken back at a version's bound ends as begin_overdue, no longer as silent. A no_upstream refusal counts the workers for each reason. An agent says why a piece was not fetched, of which version, and how many it holds. A histogram holds the time to the first part of an answer.

No choice changes.

--- a/apricotpin/components/dispatch/decisions.py
+++ b/apricotpin/components/dispatch/decisions.py
@@ -1,10 +1,11 @@
 """Choose an upstream, and decide what is remembered of an attempt."""
 
+from collections import Counter
 from collections.abc import Callable
 
 from result import Err, Ok, Result
 
-from apricotpin.components.dispatch import const
+from apricotpin.components.dispatch import const, versions
 from apricotpin.components.dispatch.state import (
     DispatchState,
     Upstream,
@@ -38,7 +39,7 @@
         and may_serve(state, upstream, engine, now_s)
     ]
     if not serving:
-        detail = f'no worker of {service} may serve'
+        detail = why_none(state, service, now_s)
         return Err(Failure(ErrorKind.NO_UPSTREAM, detail))
     free = [
         upstream
@@ -56,6 +57,18 @@
     )
 
 
+def why_none(state: DispatchState, service: str, now_s: float) -> str:
+    """Say why no worker of a service may serve, by how many for what."""
+    engine = state.engine_of(service)
+    reasons = Counter(
+        why_not(state, upstream, engine, now_s) or 'asked before'
+        for upstream in state.upstreams.values()
+        if upstream.entry.service == service
+    )
+    counts = ', '.join(f'{number} {why}' for why, number in reasons.items())
+    return f'no worker of {service} may serve: {counts or "none is known"}'
+
+
 def may_serve(
     state: DispatchState,
     upstream: Upstream,
@@ -63,12 +76,28 @@
     now_s: float,
 ) -> bool:
     """Tell whether an upstream is there and holds an allowed version."""
-    if upstream.entry.draining or is_replaced(upstream, now_s):
-        return False
+    return not why_not(state, upstream, engine, now_s)
+
+
+def why_not(
+    state: DispatchState,
+    upstream: Upstream,
+    engine: Engine | None,
+    now_s: float,
+) -> str:
+    """Say why an upstream may not serve, nothing if it may."""
+    if upstream.entry.draining:
+        return 'leaving'
+    if is_replaced(upstream, now_s):
+        return 'unreachable or replaced'
     if engine is None:
-        return True
-    version = version_of(upstream, engine, now_s)
-    return version > 0 and is_allowed(state, engine.model, version, now_s)
+        return ''
+    version = versions.version_of(upstream, engine, now_s)
+    if not version:
+        return 'without whole weights'
+    if not versions.is_allowed(state, engine.model, version, now_s):
+        return f'on version {version}'
+    return ''
 
 
 def has_room(
@@ -99,37 +128,23 @@
     cost = load_of(upstream, now_s) / max(1, upstream.entry.slots)
     if upstream.entry.data_centre != state.data_centre:
         cost += const.DISTANCE_COST
-    if is_fresh(upstream, now_s) and upstream.report.switching:
+    if versions.is_fresh(upstream, now_s) and upstream.report.switching:
         cost += const.SWITCHING_COST
-    if is_behind(state, upstream, now_s):
+    if versions.is_behind(state, upstream, now_s):
         cost += const.BEHIND_COST
     cost += upstream.failure_score * const.FAILURE_COST
     return cost + random_unit() * const.TIE_SPREAD
 
 
-def is_behind(state: DispatchState, upstream: Upstream, now_s: float) -> bool:
-    """Tell whether a worker holds an older version than the newest declared."""
-    engine = state.engine_of(upstream.entry.service)
-    if engine is None:
-        return False
-    declared = state.targets.get(engine.model, {})
-    return version_of(upstream, engine, now_s) < max(declared, default=0)
-
-
 def load_of(upstream: Upstream, now_s: float) -> int:
     """Return the requests expected at an upstream, those waiting included."""
-    others = upstream.others if is_fresh(upstream, now_s) else 0
+    others = upstream.others if versions.is_fresh(upstream, now_s) else 0
     return upstream.own + others
 
 
-def is_fresh(upstream: Upstream, now_s: float) -> bool:
-    """Tell whether an agent reported on an upstream lately."""
-    return now_s - upstream.reported_s < const.REPORT_FRESH_S
-
-
 def is_replaced(upstream: Upstream, now_s: float) -> bool:
     """Tell whether another start of a worker is at the address now."""
-    if not is_fresh(upstream, now_s):
+    if not versions.is_fresh(upstream, now_s):
         return False
     report = upstream.report
     if not report.reachable:
@@ -138,58 +153,6 @@
     return bool(started_ms) and started_ms != report.started_ms
 
 
-def version_of(upstream: Upstream, engine: Engine, now_s: float) -> int:
-    """Return the version that a worker holds whole, 0 if it holds none."""
-    if is_fresh(upstream, now_s):
-        report = upstream.report
-        whole = report.layers_start == 0 and report.layers_end >= engine.layers
-        return report.version if whole else 0
-    versions = [
-        part.version
-        for part in upstream.entry.loaded or ()
-        if part.model == engine.model
-        and part.start == 0
-        and (part.end < 0 or part.end >= engine.layers)
-    ]
-    return max(versions, default=0)
-
-
-def is_allowed(
-    state: DispatchState,
-    model: str,
-    version: int,
-    now_s: float,
-) -> bool:
-    """Tell whether a request may begin on a version."""
-    allowed_s = state.bounds.version_s - const.VERSION_MARGIN_S
-    return all(
-        declared <= version or now_s - since_s < allowed_s
-        for declared, since_s in state.targets.get(model, {}).items()
-    )
-
-
-def begin_by_s(
-    state: DispatchState,
-    upstream: Upstream,
-    now_s: float,
-) -> float | None:
-    """Return until when a stream may begin on the version of a worker.
-
-    A request waits at a busy worker for longer than any margin foresees.
-    """
-    engine = state.engine_of(upstream.entry.service)
-    if engine is None:
-        return None
-    version = version_of(upstream, engine, now_s)
-    longest_s = state.bounds.version_s - const.BEGIN_MARGIN_S
-    bounds = [
-        since_s + longest_s
-        for declared, since_s in state.targets.get(engine.model, {}).items()
-        if declared > version
-    ]
-    return min(bounds, default=None)
-
-
 def note_report(upstream: Upstream, report: LoadReport, now_s: float) -> None:
     """Take an agent's report; what exceeds the own attempts is of others."""
     upstream.report = report
--- a/apricotpin/components/dispatch/service.py
+++ b/apricotpin/components/dispatch/service.py
@@ -6,7 +6,12 @@
 import gevent
 from result import Err, Result
 
-from apricotpin.components.dispatch import connections, const, decisions
+from apricotpin.components.dispatch import (
+    connections,
+    const,
+    decisions,
+    versions,
+)
 from apricotpin.components.dispatch.state import (
     DispatchState,
     Upstream,
@@ -189,6 +194,10 @@
         now_s: float,
     ) -> upstreams.Picked:
         load = decisions.load_of(upstream, now_s)
+        engine = self._state.engine_of(upstream.entry.service)
+        version = 0
+        if engine is not None:
+            version = versions.version_of(upstream, engine, now_s)
         self._state.take(ticket, upstream)
         connection = connections.take(upstream.idle, now_s)
         if connection is None:
@@ -197,11 +206,12 @@
             upstream.entry.instance_id,
             upstream.address,
             connection,
-            0 if upstream.report is None else upstream.report.version,
+            version,
             load,
             now_s - upstream.reported_s,
             ticket,
-            decisions.begin_by_s(self._state, upstream, now_s),
+            versions.begin_by_s(self._state, upstream, now_s),
+            versions.behind_s(self._state, upstream, now_s),
         )
 
     def _serve_waiters(self) -> None:
--- /dev/null
+++ b/apricotpin/components/dispatch/versions.py
@@ -0,0 +1,89 @@
+"""Which version of its model an upstream holds, and until when it may serve."""
+
+from apricotpin.components.dispatch import const
+from apricotpin.components.dispatch.state import DispatchState, Upstream
+from apricotpin.messages.desired import Engine
+
+
+def is_fresh(upstream: Upstream, now_s: float) -> bool:
+    """Tell whether an agent reported on an upstream lately."""
+    return now_s - upstream.reported_s < const.REPORT_FRESH_S
+
+
+def version_of(upstream: Upstream, engine: Engine, now_s: float) -> int:
+    """Return the version that a worker holds whole, 0 if it holds none."""
+    if is_fresh(upstream, now_s):
+        report = upstream.report
+        whole = report.layers_start == 0 and report.layers_end >= engine.layers
+        return report.version if whole else 0
+    versions = [
+        part.version
+        for part in upstream.entry.loaded or ()
+        if part.model == engine.model
+        and part.start == 0
+        and (part.end < 0 or part.end >= engine.layers)
+    ]
+    return max(versions, default=0)
+
+
+def is_allowed(
+    state: DispatchState,
+    model: str,
+    version: int,
+    now_s: float,
+) -> bool:
+    """Tell whether a request may begin on a version."""
+    allowed_s = state.bounds.version_s - const.VERSION_MARGIN_S
+    return all(
+        declared <= version or now_s - since_s < allowed_s
+        for declared, since_s in state.targets.get(model, {}).items()
+    )
+
+
+def is_behind(state: DispatchState, upstream: Upstream, now_s: float) -> bool:
+    """Tell whether a worker holds an older version than the newest declared."""
+    engine = state.engine_of(upstream.entry.service)
+    if engine is None:
+        return False
+    declared = state.targets.get(engine.model, {})
+    return version_of(upstream, engine, now_s) < max(declared, default=0)
+
+
+def behind_s(
+    state: DispatchState,
+    upstream: Upstream,
+    now_s: float,
+) -> float | None:
+    """Return for how long a newer version than a worker's is known."""
+    engine = state.engine_of(upstream.entry.service)
+    if engine is None:
+        return None
+    version = version_of(upstream, engine, now_s)
+    ages = [
+        now_s - since_s
+        for declared, since_s in state.targets.get(engine.model, {}).items()
+        if declared > version
+    ]
+    return max(ages, default=None)
+
+
+def begin_by_s(
+    state: DispatchState,
+    upstream: Upstream,
+    now_s: float,
+) -> float | None:
+    """Return until when a stream may begin on the version of a worker.
+
+    A request waits at a busy worker for longer than any margin foresees.
+    """
+    engine = state.engine_of(upstream.entry.service)
+    if engine is None:
+        return None
+    version = version_of(upstream, engine, now_s)
+    longest_s = state.bounds.version_s - const.BEGIN_MARGIN_S
+    bounds = [
+        since_s + longest_s
+        for declared, since_s in state.targets.get(engine.model, {}).items()
+        if declared > version
+    ]
+    return min(bounds, default=None)
--- a/apricotpin/components/gateway/application.py
+++ b/apricotpin/components/gateway/application.py
@@ -10,14 +10,19 @@
 from loguru import logger
 from result import Err, Result
 
-from apricotpin.components.gateway import decisions, serving
-from apricotpin.components.gateway.attempts import Attempt, Job
+from apricotpin.components.gateway import (
+    attempts,
+    decisions,
+    serving,
+    stories,
+)
 from apricotpin.components.gateway.callers import (
     ENVIRON_CALL,
     RawCall,
     watch_caller,
 )
 from apricotpin.components.gateway.service import BeginCall, EndCall
+from apricotpin.components.gateway.state import Attempt, Job
 from apricotpin.const import SERVICE_GATEWAY, SERVICE_METRICS
 from apricotpin.core import Kernel
 from apricotpin.errors import ErrorKind, Failure, answer_for
@@ -62,8 +67,11 @@
             yield self._refuse(answered.err_value, start_response)
             return
         attempt = answered.ok_value
-        status = attempt.head.status
-        self._outcome = {'outcome': 'broken_off', 'status': status}
+        self._outcome = {
+            'outcome': 'broken_off',
+            'status': attempt.head.status,
+            **stories.story_of(attempt),
+        }
         self._kernel.send(
             SERVICE_METRICS,
             Observe('first_byte_s', time.monotonic() - self._started_s),
@@ -76,7 +84,7 @@
         if self._watcher is not None:
             self._watcher.kill(block=False)
         if self._job is not None:
-            self._job.abandon()
+            attempts.abandon(self._job)
         self._kernel.send(SERVICE_GATEWAY, EndCall())
         self._kernel.send(
             SERVICE_METRICS,
--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -2,26 +2,19 @@
 
 import time
 import uuid
-from collections.abc import Callable
-from typing import Any, Final
+from typing import Any
 
-from loguru import logger
 from result import Err, Ok, Result
 
-from apricotpin.components.gateway import const, decisions
+from apricotpin.components.gateway import const, decisions, stories
 from apricotpin.components.gateway.events import EventSplitter
-from apricotpin.const import SERVICE_DISPATCH
-from apricotpin.core import Kernel
+from apricotpin.components.gateway.state import Attempt, Job
+from apricotpin.const import SERVICE_DISPATCH, SERVICE_METRICS
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.exchange import Exchange, Verdict, connect
-from apricotpin.messages.calls import (
-    AnswerHead,
-    CallCodec,
-    CallHead,
-    Handover,
-    Resolved,
-)
+from apricotpin.messages.calls import Handover
 from apricotpin.messages.desired import RouteKind
+from apricotpin.messages.metrics import Observe
 from apricotpin.messages.upstreams import (
     AttemptDone,
     CancelPick,
@@ -29,74 +22,6 @@
     Picked,
 )
 
-# A load that was never reported is shown with this age.
-_AGE_SHOWN_S: Final = 99.0
-
-
-class Job:
-    """Own one request on its way through upstreams."""
-
-    __slots__ = (
-        'before_send',
-        'body',
-        'codec',
-        'current',
-        'head',
-        'kernel',
-        'progress',
-        'resolved',
-    )
-
-    def __init__(
-        self,
-        kernel: Kernel,
-        codec: CallCodec,
-        head: CallHead,
-        resolved: Resolved,
-        body: bytes,
-        progress: decisions.Progress,
-    ) -> None:
-        self.kernel = kernel
-        self.codec = codec
-        self.head = head
-        self.resolved = resolved
-        self.body = body
-        self.progress = progress
-        self.current: Attempt | None = None
-        # Called each time before the request is sent to an upstream.
-        self.before_send: Callable[[], Any] | None = None
-
-    def abandon(self) -> None:
-        """Cancel the attempt in progress, if there is one."""
-        if self.current is not None:
-            finish(self, self.current, Verdict.LEFT)
-
-
-class Attempt:
-    """Own one attempt; first_part is the body, or a stream's first events."""
-
-    __slots__ = (
-        'exchange',
-        'first_part',
-        'head',
-        'picked',
-        'splitter',
-        'verdict',
-    )
-
-    def __init__(self, picked: Picked) -> None:
-        self.picked = picked
-        self.verdict = Verdict.CONNECT_FAILED
-        self.exchange: Exchange | None = None
-        self.head: AnswerHead | None = None
-        self.first_part = b''
-        self.splitter: EventSplitter | None = None
-
-    @property
-    def sent(self) -> bool:
-        """Tell whether a byte of the request was sent."""
-        return self.exchange is not None and self.exchange.sent
-
 
 def pick(job: Job) -> Result[Picked, Failure]:
     """Ask for an upstream for the next attempt."""
@@ -120,7 +45,7 @@
         job.kernel.send(SERVICE_DISPATCH, CancelPick(ticket))
         raise
     if picked.is_ok():
-        _log_pick(job, picked.ok_value, now_s)
+        stories.log_pick(job, picked.ok_value, now_s)
     elif picked.err_value.kind is ErrorKind.TIMEOUT:
         job.kernel.send(SERVICE_DISPATCH, CancelPick(ticket))
     return picked
@@ -183,14 +108,13 @@
         ),
     )
     if verdict is not Verdict.ANSWERED:
-        logger.bind(
-            id=job.head.request_id,
-            instance=attempt.picked.instance_id,
-            verdict=verdict.value,
-            sent=attempt.sent,
-            status=0 if attempt.head is None else attempt.head.status,
-            left_ms=_left_ms(job),
-        ).info('attempt_failed')
+        stories.log_failure(job, attempt, verdict)
+
+
+def abandon(job: Job) -> None:
+    """Cancel the attempt in progress, if there is one."""
+    if job.current is not None:
+        finish(job, job.current, Verdict.LEFT)
 
 
 def _run(job: Job, attempt: Attempt) -> Verdict:
@@ -211,9 +135,19 @@
     )
     if job.before_send is not None:
         job.before_send()
+    attempt.sent_s = time.monotonic()
     failed = attempt.exchange.send(_encode(job, attempt.picked))
     failed = failed or attempt.exchange.read_head()
-    return failed or _read_answer(job, attempt)
+    verdict = failed or _read_answer(job, attempt)
+    if verdict is Verdict.SILENT and _is_overdue(job, attempt):
+        return Verdict.OVERDUE
+    return verdict
+
+
+def _is_overdue(job: Job, attempt: Attempt) -> bool:
+    begin_by_s = decisions.begin_by_s(job.progress, attempt.picked.begin_by_s)
+    now_s = time.monotonic()
+    return begin_by_s <= now_s < job.progress.deadline_s
 
 
 def _encode(job: Job, picked: Picked) -> bytes:
@@ -241,7 +175,7 @@
     is_stream = job.resolved.route.kind is RouteKind.STREAM
     if is_stream and verdict is Verdict.ANSWERED:
         return _begin_stream(job, attempt)
-    return _read_body(attempt, verdict)
+    return _read_body(job, attempt, verdict)
 
 
 def _begin_stream(job: Job, attempt: Attempt) -> Verdict:
@@ -249,39 +183,27 @@
     events = read_events(job, attempt)
     if events.is_err():
         return events.err_value
-    attempt.first_part = events.ok_value
+    _note_first_part(job, attempt, events.ok_value)
     attempt.exchange.extend(job.progress.deadline_s)
     attempt.exchange.set_silence(const.EVENT_SILENT_S)
     return Verdict.ANSWERED
 
 
-def _read_body(attempt: Attempt, verdict: Verdict) -> Verdict:
+def _read_body(job: Job, attempt: Attempt, verdict: Verdict) -> Verdict:
     body = attempt.exchange.read_all(const.ANSWER_BODY_MAX_BYTES)
     if body.is_err():
         # What a worker says of a request it did not run holds all the same.
         if verdict in {Verdict.BUSY, Verdict.MISDIRECTED}:
             return verdict
         return body.err_value
-    attempt.first_part = body.ok_value
+    _note_first_part(job, attempt, body.ok_value)
     return verdict
 
 
-def _log_pick(job: Job, picked: Picked, asked_s: float) -> None:
-    logger.bind(
-        id=job.head.request_id,
-        route=job.resolved.route.name,
-        service=job.resolved.service,
-        config=job.resolved.version,
-        instance=picked.instance_id,
-        load=picked.load,
-        load_age_ms=int(min(_AGE_SHOWN_S, picked.load_age_s) * 1000),
-        version=picked.version,
-        held_ms=int((time.monotonic() - asked_s) * 1000),
-        attempt=job.progress.sent + 1,
-        reason=job.progress.retry_reason or 'first',
-        left_ms=_left_ms(job),
-    ).info('upstream_picked')
-
-
-def _left_ms(job: Job) -> int:
-    return int((job.progress.deadline_s - time.monotonic()) * 1000)
+def _note_first_part(job: Job, attempt: Attempt, part: bytes) -> None:
+    attempt.first_part = part
+    attempt.waited_s = time.monotonic() - attempt.sent_s
+    job.kernel.send(
+        SERVICE_METRICS,
+        Observe('upstream_first_part_s', attempt.waited_s),
+    )
--- a/apricotpin/components/gateway/serving.py
+++ b/apricotpin/components/gateway/serving.py
@@ -8,7 +8,13 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from apricotpin.components.gateway import attempts, const, decisions
+from apricotpin.components.gateway import (
+    attempts,
+    const,
+    decisions,
+    stories,
+)
+from apricotpin.components.gateway.state import Attempt, Job
 from apricotpin.const import SERVICE_DISPATCH, SERVICE_ROUTES
 from apricotpin.core import Kernel
 from apricotpin.errors import ErrorKind, Failure
@@ -27,7 +33,7 @@
     head: CallHead,
     body: bytes,
     started_s: float,
-) -> Result[attempts.Job, Failure]:
+) -> Result[Job, Failure]:
     """Find where a request belongs."""
     resolved = kernel.call(
         SERVICE_ROUTES,
@@ -49,7 +55,7 @@
     )
     kernel.send(SERVICE_DISPATCH, NoteRequest(resolved.ok_value.service))
     return Ok(
-        attempts.Job(
+        Job(
             kernel,
             codec,
             head,
@@ -60,7 +66,7 @@
     )
 
 
-def obtain(job: attempts.Job) -> Result[attempts.Attempt, Failure]:
+def obtain(job: Job) -> Result[Attempt, Failure]:
     """Return the attempt whose answer the caller receives."""
     while True:
         picked = attempts.pick(job)
@@ -79,9 +85,7 @@
             return Err(_failure_of(job, cause))
 
 
-def relay_events(
-    job: attempts.Job, attempt: attempts.Attempt
-) -> Iterator[bytes]:
+def relay_events(job: Job, attempt: Attempt) -> Iterator[bytes]:
     """Deliver a stream, going on at another worker where one breaks off."""
     yield attempt.first_part
     while True:
@@ -97,7 +101,7 @@
             return
 
 
-def _resume(job: attempts.Job) -> attempts.Attempt:
+def _resume(job: Job) -> Attempt:
     if not decisions.may_try_again(job.progress, time.monotonic()):
         raise BrokenAnswer('the stream may not be resumed')
     resumed = obtain(job)
@@ -109,17 +113,16 @@
         id=job.head.request_id,
         instance=resumed.ok_value.picked.instance_id,
         after_event=job.progress.last_event_id,
+        **stories.story_of(resumed.ok_value),
     ).info('stream_resumed')
     return resumed.ok_value
 
 
-def _failure_of(job: attempts.Job, cause: Failure) -> Failure:
+def _failure_of(job: Job, cause: Failure) -> Failure:
     return decisions.failure_of(job.progress, cause, time.monotonic())
 
 
-def left_s(
-    job: attempts.Job | None, head: CallHead | None, started_s: float
-) -> float:
+def left_s(job: Job | None, head: CallHead | None, started_s: float) -> float:
     """Return how much of a caller's time is left."""
     now_s = time.monotonic()
     if job is not None:
@@ -130,7 +133,7 @@
 
 
 def log_end(
-    job: attempts.Job | None,
+    job: Job | None,
     head: CallHead | None,
     started_s: float,
     outcome: dict[str, Any],
--- /dev/null
+++ b/apricotpin/components/gateway/state.py
@@ -0,0 +1,83 @@
+"""One request on its way through upstreams, and one attempt at it."""
+
+from collections.abc import Callable
+from typing import Any
+
+from apricotpin.components.gateway import decisions
+from apricotpin.components.gateway.events import EventSplitter
+from apricotpin.core import Kernel
+from apricotpin.helpers.exchange import Exchange, Verdict
+from apricotpin.messages.calls import (
+    AnswerHead,
+    CallCodec,
+    CallHead,
+    Resolved,
+)
+from apricotpin.messages.upstreams import Picked
+
+
+class Job:
+    """Own one request on its way through upstreams."""
+
+    __slots__ = (
+        'before_send',
+        'body',
+        'codec',
+        'current',
+        'head',
+        'kernel',
+        'progress',
+        'resolved',
+    )
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        codec: CallCodec,
+        head: CallHead,
+        resolved: Resolved,
+        body: bytes,
+        progress: decisions.Progress,
+    ) -> None:
+        self.kernel = kernel
+        self.codec = codec
+        self.head = head
+        self.resolved = resolved
+        self.body = body
+        self.progress = progress
+        self.current: Attempt | None = None
+        # Called each time before the request is sent to an upstream.
+        self.before_send: Callable[[], Any] | None = None
+
+
+class Attempt:
+    """Own one attempt; first_part is the body, or a stream's first events.
+
+    waited_s is the time from sending the request to that part.
+    """
+
+    __slots__ = (
+        'exchange',
+        'first_part',
+        'head',
+        'picked',
+        'sent_s',
+        'splitter',
+        'verdict',
+        'waited_s',
+    )
+
+    def __init__(self, picked: Picked) -> None:
+        self.picked = picked
+        self.verdict = Verdict.CONNECT_FAILED
+        self.exchange: Exchange | None = None
+        self.head: AnswerHead | None = None
+        self.first_part = b''
+        self.sent_s: float = 0
+        self.waited_s: float | None = None
+        self.splitter: EventSplitter | None = None
+
+    @property
+    def sent(self) -> bool:
+        """Tell whether a byte of the request was sent."""
+        return self.exchange is not None and self.exchange.sent
--- a/apricotpin/components/installer/entries.py
+++ b/apricotpin/components/installer/entries.py
@@ -2,8 +2,6 @@
 
 import time
 
-from loguru import logger
-
 from apricotpin.components.installer import const
 from apricotpin.helpers.hashing import rendezvous_order
 from apricotpin.messages.fleet import EntryHello
@@ -39,7 +37,6 @@
         for known in self._known.values():
             if known.hello.peer_address == address:
                 known.suspect_until_s = until_s
-        logger.bind(source=address).warning('piece_not_fetched')
 
     def order(self, key: str, now_s: float) -> list[str]:
         """Return the addresses to fetch from, best first."""
--- a/apricotpin/components/installer/events.py
+++ b/apricotpin/components/installer/events.py
@@ -40,7 +40,7 @@
 
 
 class PieceFetched:
-    """Carry a fetched piece, or None if the entry host has none for us."""
+    """Carry a fetched piece, or why the entry host gave none."""
 
     __slots__ = ('address', 'content', 'order')
 
@@ -48,7 +48,7 @@
         self,
         order: PieceOrder,
         address: str,
-        content: bytes | None,
+        content: Result[bytes, Failure],
     ) -> None:
         self.order = order
         self.address = address
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -95,12 +95,16 @@
         install, index = message.order.install, message.order.index
         install.stock.fetching.discard(index)
         reply.ok()
-        if message.content is None:
+        if message.content.is_err():
             self._entries.suspect(message.address)
-        elif index == const.MANIFEST_INDEX:
-            self._take_manifest(install, message.content)
-        elif decisions.is_sound(install, index, message.content):
-            install.stock.pieces[index] = message.content
+            _log_not_fetched(message)
+            self._go_on()
+            return
+        content = message.content.ok_value
+        if index == const.MANIFEST_INDEX:
+            self._take_manifest(install, content)
+        elif decisions.is_sound(install, index, content):
+            install.stock.pieces[index] = content
             install.stock.progress_s = time.monotonic()
             _log_if_complete(install)
         else:
@@ -240,6 +244,17 @@
             self._fetchers.pop().ok(order)
 
 
+def _log_not_fetched(message: PieceFetched) -> None:
+    install = message.order.install
+    logger.bind(
+        source=message.address,
+        version=install.version,
+        index=message.order.index,
+        pieces=len(install.stock.pieces),
+        error=repr(message.content.err_value),
+    ).warning('piece_not_fetched')
+
+
 def _log_if_complete(install: Install) -> None:
     if install.stock.is_complete:
         logger.bind(
--- a/apricotpin/components/installer/workers.py
+++ b/apricotpin/components/installer/workers.py
@@ -6,6 +6,7 @@
 
 import gevent
 from loguru import logger
+from result import Err, Ok, Result
 
 from apricotpin.components.installer import const
 from apricotpin.components.installer.decisions import Load
@@ -25,6 +26,7 @@
     SERVICE_STORE,
 )
 from apricotpin.core import Kernel
+from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.hashing import matches_sha256
 from apricotpin.helpers.peer_client import PeerClient
 from apricotpin.messages.feeds import EntryHost, Feed, ReadSnapshot
@@ -64,7 +66,7 @@
             SERVICE_INSTALLER,
             PieceFetched(order, address, content),
         )
-        if content is None:
+        if content.is_err():
             gevent.sleep(const.RETRY_S)
 
 
@@ -109,7 +111,7 @@
     client: PeerClient,
     order: PieceOrder,
     address: str,
-) -> bytes | None:
+) -> Result[bytes, Failure]:
     install = order.install
     asked = client.call(
         address,
@@ -122,9 +124,11 @@
         ),
         const.FETCH_TIMEOUT_S,
     )
-    if asked.is_err() or asked.ok_value.status != const.STATUS_OK:
-        return None
-    return asked.ok_value.data
+    if asked.is_err():
+        return asked
+    if asked.ok_value.status != const.STATUS_OK:
+        return Err(Failure(ErrorKind.CHUNK_NOT_YET, asked.ok_value.status))
+    return Ok(asked.ok_value.data)
 
 
 def _scan(kernel: Kernel, order: LoadOrder) -> LoadDone:
--- a/apricotpin/components/metrics/const.py
+++ b/apricotpin/components/metrics/const.py
@@ -53,6 +53,12 @@
         KIND_HISTOGRAM,
         'time from a request to the first byte of its response in seconds',
     ),
+    Metric(
+        'upstream_first_part_s',
+        KIND_HISTOGRAM,
+        'time from sending a request to the first part of the answer in '
+        'seconds',
+    ),
     Metric(
         'log_appends_total',
         KIND_COUNTER,
--- a/apricotpin/helpers/exchange.py
+++ b/apricotpin/helpers/exchange.py
@@ -22,6 +22,7 @@
     CONNECT_FAILED = 'connect_failed'
     RESET = 'reset_before_answer'
     SILENT = 'silent'
+    OVERDUE = 'begin_overdue'
     CROSSED = 'crossed_answer'
     BUSY = 'upstream_busy'
     TRUNCATED = 'truncated'
--- a/apricotpin/messages/calls.py
+++ b/apricotpin/messages/calls.py
@@ -87,7 +87,8 @@
     not_run holds where the upstream says that it did not run the request;
     sealed where the answer bears the upstream's own mark; idle_s is how long
     the connection may stay idle, None where that was not said. answered_by is
-    the instance that names itself in the answer, empty if none does.
+    the instance that names itself in the answer, empty if none does; version
+    is that of the weights it names, 0 if it names none.
     """
 
     __slots__ = (
@@ -100,6 +101,7 @@
         'request_id',
         'sealed',
         'status',
+        'version',
     )
 
     def __init__(
@@ -113,8 +115,10 @@
         encoded_body: bool,
         idle_s: float | None,
         answered_by: str = '',
+        version: int = 0,
     ) -> None:
         self.answered_by = answered_by
+        self.version = version
         self.status = status
         self.headers = headers
         self.request_id = request_id
--- a/apricotpin/messages/upstreams.py
+++ b/apricotpin/messages/upstreams.py
@@ -113,13 +113,16 @@
 class Picked:
     """Name the upstream of an attempt, and an idle connection if one is open.
 
-    load and load_age_s tell what the choice rests on. A stream must have
-    begun by begin_by_s of the monotonic clock, None where any time will do.
+    load, load_age_s, version and behind_s tell what the choice rests on:
+    behind_s is for how long a newer version than the worker's is known, None
+    where there is none. A stream must have begun by begin_by_s of the
+    monotonic clock, None where any time will do.
     """
 
     __slots__ = (
         'address',
         'begin_by_s',
+        'behind_s',
         'connection',
         'instance_id',
         'load',
@@ -138,9 +141,11 @@
         load_age_s: float,
         ticket: str,
         begin_by_s: float | None = None,
+        behind_s: float | None = None,
     ) -> None:
         self.ticket = ticket
         self.begin_by_s = begin_by_s
+        self.behind_s = behind_s
         self.instance_id = instance_id
         self.address = address
         self.connection = connection
--- a/apricotpin/platform/call_codec.py
+++ b/apricotpin/platform/call_codec.py
@@ -132,6 +132,7 @@
         encoded_body=single.get('content-encoding', 'identity') != 'identity',
         idle_s=_idle_s(single.get('keep-alive', '')),
         answered_by=single.get(names.HEADER_INSTANCE.lower(), ''),
+        version=_version(single.get(names.HEADER_VERSION.lower(), '')),
     )
 
 
@@ -166,6 +167,11 @@
     return 0, 0
 
 
+def _version(text: str) -> int:
+    # One integer, though the header's name is a plural.
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
 def _idle_s(text: str) -> float | None:
     for part in text.split(','):
         name, _, amount = part.strip().partition('=')
--- a/tests/components/dispatch/choice.feature
+++ b/tests/components/dispatch/choice.feature
@@ -24,6 +24,21 @@
       | entered whole, never reported | made     |
       | entered empty, never reported | no_upstream |
 
+  Scenario Outline: a refusal with a worker that is <property> says <why>
+    # Without the reason, a log can't tell a version's bound from a lost worker.
+    Given dispatch knows a worker that is <property>
+    And dispatch knows that version 2 was declared <ago> s ago
+    When dispatch chooses
+    Then dispatch's refusal says <why>
+
+    Examples:
+      | property             | ago | why                       |
+      | idle                 | 9   | 1 on version 1            |
+      | draining             | 1   | 1 leaving                 |
+      | reported unreachable | 1   | 1 unreachable or replaced |
+      | half loaded          | 1   | 1 without whole weights   |
+      | of another service   | 1   | none is known             |
+
   Scenario Outline: of two workers the one that is <better> goes before one that is <worse>
     Given dispatch knows a worker that is <better> and one that is <worse>
     When dispatch chooses 50 times
--- a/tests/platform/codec.feature
+++ b/tests/platform/codec.feature
@@ -46,6 +46,8 @@
       | 421    | X-Instance-Id: i-2    | misdirected |
       | 200    | Content-Encoding: gzip | encoded    |
       | 200    | Keep-Alive: timeout=5 | idle 5      |
+      | 200    | X-Weight-Versions: 3  | of version 3 |
+      | 200    | X-Weight-Versions: x  | of no version |
 
   Scenario Outline: a deadline of <deadline> is <outcome>
     When codec reads a request with the deadline <deadline>
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 from gevent.event import AsyncResult
 
-from apricotpin.components.dispatch import decisions
+from apricotpin.components.dispatch import decisions, versions
 from apricotpin.components.dispatch.service import DispatchService
 from apricotpin.components.dispatch.state import DispatchState, Upstream, Window
 from apricotpin.core import Kernel, Reply
@@ -142,6 +142,12 @@
     assert kind == chosen, found
 
 
+@then("dispatch's refusal says {why}")
+def refusal_says(context, why):
+    detail = context.chosen.err_value.detail
+    assert detail.endswith(f': {why}'), detail
+
+
 @when('dispatch chooses {count:d} times')
 def choose_often(context, count):
     context.random = random.Random(1).random
@@ -161,19 +167,19 @@
 def judge_version(context, held, declared, known):
     state = make_state()
     state.targets = {'m': {declared: _NOW_S - known}}
-    context.allowed = decisions.is_allowed(state, 'm', held, _NOW_S)
+    context.allowed = versions.is_allowed(state, 'm', held, _NOW_S)
 
 
 @when('dispatch judges version 1 with 2 known for 8 s and 3 for 1 s')
 def judge_skipped(context):
     state = make_state()
     state.targets = {'m': {2: _NOW_S - 8, 3: _NOW_S - 1}}
-    context.allowed = decisions.is_allowed(state, 'm', 1, _NOW_S)
+    context.allowed = versions.is_allowed(state, 'm', 1, _NOW_S)
 
 
 @when('dispatch computes until when a stream may begin')
 def compute_begin(context):
-    context.begin_by_s = decisions.begin_by_s(
+    context.begin_by_s = versions.begin_by_s(
         context.state, context.state.upstreams['0'], _NOW_S
     )
 
--- a/tests/steps/installer_steps.py
+++ b/tests/steps/installer_steps.py
@@ -204,13 +204,13 @@
     pieces = [f'{number}'.encode() for number in range(64)]
     digests = [hashlib.sha256(piece).hexdigest() for piece in pieces]
     manifest = json.dumps({'layers': 16, 'digests': digests}).encode()
-    taken = events.PieceFetched(order, 'e1', manifest)
+    taken = events.PieceFetched(order, 'e1', Ok(manifest))
     installer.take_piece(taken, Reply())
     for _ in range(count):
         order = _ask_piece(installer)
         content = pieces[order.index]
         installer.take_piece(
-            events.PieceFetched(order, 'e1', content),
+            events.PieceFetched(order, 'e1', Ok(content)),
             Reply(),
         )
     # So slow a version is not finished before a newer one.
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -192,6 +192,8 @@
         'misdirected': answer.misdirected,
         'encoded': answer.encoded_body,
         'idle 5': answer.idle_s == 5,
+        'of version 3': answer.version == 3,
+        'of no version': answer.version == 0,
     }
     expected = meaning != 'unsealed'
     assert found[meaning.removeprefix('un')] == expected
