--- a/tests/components/dispatch/choice.feature
+++ b/tests/components/dispatch/choice.feature
@@ -92,6 +92,41 @@
       | 2    | 3        | 7     | 0.85     |
       | 2    | 2        | 7     | any time |
 
+  Scenario Outline: a request that would begin past the bound is not sent to a worker behind
+    # A request that waits at a worker begins on the old version after its bound.
+    Given dispatch knows a worker that is <worker>
+    And dispatch knows that version 2 was declared <ago> s ago
+    When dispatch chooses for a request that is <kind>
+    Then dispatch's choice is <chosen>
+
+    @known_red
+    Examples: near the bound of the version
+      | worker                | ago | kind    | chosen     |
+      | without room to begin | 6.5 | new     | overloaded |
+      | without room to begin | 6.5 | resumed | overloaded |
+
+    Examples: long before it, or with room
+      | worker                | ago | kind    | chosen     |
+      | without room to begin | 1   | new     | made       |
+      | without room to begin | 1   | resumed | made       |
+      | busy                  | 6.5 | new     | made       |
+      | busy                  | 6.5 | resumed | made       |
+
+  Scenario Outline: a version declared 6 s ago counts <age> s after a suspension of <suspended> s
+    # The monotonic clock stands still meanwhile, the bound does not.
+    Given dispatch hears of version 2 declared 6 s ago
+    When dispatch's host is suspended for <suspended> s
+    Then dispatch picks <picked> of a worker with version 1
+
+    Examples: no suspension
+      | suspended | age | picked      |
+      | 0         | 6   | one request |
+
+    @known_red
+    Examples: a suspension past the bound
+      | suspended | age | picked      |
+      | 3         | 9   | nothing     |
+
   Scenario: a newer version does not prolong the bound of the one before it
     When dispatch judges version 1 with 2 known for 8 s and 3 for 1 s
     Then dispatch's version is forbidden
--- a/tests/components/follower/lapses.feature
+++ b/tests/components/follower/lapses.feature
@@ -36,3 +36,21 @@
       | 4       | 0.1 | does not ask |
       | 6       | 0.1 | asks         |
       | 5       | 1.0 | asks         |
+
+  Scenario Outline: a version from <first>, then from <second>: its age is <age>
+    # A host that starts within the bound must not refuse the older version.
+    When follower learns of version 2 from <first>
+    And follower learns of version 2 from <second>
+    Then follower announced that version 2 is known for <age>
+
+    Examples: ages that are kept
+      | first                  | second                 | age        |
+      | a change               | a snapshot             | 0 s        |
+      | a change               | a host knowing it 3 s  | 0 s        |
+      | a snapshot             | a host not knowing when | an unknown time |
+
+    @known_red
+    Examples: ages that are replaced
+      | first                  | second                 | age        |
+      | a snapshot             | a host knowing it 3 s  | 3 s        |
+      | a host not knowing when | a host knowing it 3 s | 3 s        |
--- a/tests/components/gateway/leaving.feature
+++ b/tests/components/gateway/leaving.feature
@@ -15,6 +15,23 @@
       | idempotent     | after it was sent  | sends         | cancels         |
       | non_idempotent | after it was sent  | sends         | does not cancel |
 
+  Scenario Outline: a request that must begin <by> is <fate> over a connection that opens after <opens> s
+    # A connection may take up to a second to open while the bound passes.
+    Given gateway serves a request that is resumable while dispatch looks for a worker
+    And gateway's worker takes <opens> s to accept a connection
+    When gateway's worker has to begin <by> and is silent
+    Then gateway <sends> the request to the worker
+
+    @known_red
+    Examples: a connection that opens too late
+      | by          | opens | fate     | sends         |
+      | in 0.05 s   | 0.2   | not sent | does not send |
+
+    Examples: a connection that opens in time
+      | by          | opens | fate     | sends         |
+      | in 0.05 s   | 0     | sent     | sends         |
+      | at any time | 0.2   | sent     | sends         |
+
   Scenario Outline: a request that is <kind> must begin <by>
     Given gateway serves a request that is <kind> while dispatch looks for a worker
     When gateway's worker has to begin <by> and is silent
--- a/tests/components/installer/decisions.feature
+++ b/tests/components/installer/decisions.feature
@@ -138,6 +138,29 @@
       | 0         | checked   |
       | 2         | unchecked |
 
+  @known_red
+  Scenario: a newer version that is not there yet leaves the link to the older one
+    # A link that idles costs the time in which a version could be served.
+    Given installer has 30 pieces of version 2 when it hears of version 3
+    When installer's entry host has no piece yet
+    Then installer fetches a piece of version 2 next
+
+  Scenario Outline: an entry host that <fails> is asked <order> for the next piece
+    # A host that waits for the origin itself is no worse than the others.
+    Given installer has 30 pieces of version 2 when it hears of version 3
+    And installer knows a second entry host
+    When installer's entry host <fails>
+    Then installer asks that host <order>
+
+    Examples: a host that failed
+      | fails            | order |
+      | does not answer  | last  |
+
+    @known_red
+    Examples: a host that waits itself
+      | fails            | order |
+      | has no piece yet | first |
+
   Scenario: an installer whose newer version does not come asks for the older
     Given installer has 30 pieces of version 2 when it hears of version 3
     When installer has waited 2 s in vain and a report arrives
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -7,18 +7,26 @@
 from gevent.event import AsyncResult
 
 from apricotpin.components.dispatch import decisions, versions
+from apricotpin.components.dispatch.beliefs import Beliefs
 from apricotpin.components.dispatch.service import DispatchService
 from apricotpin.components.dispatch.state import DispatchState, Upstream, Window
 from apricotpin.core import Kernel, Reply
+from apricotpin.helpers import clocks
 from apricotpin.helpers.exchange import Verdict
 from apricotpin.host_settings import Bounds
-from apricotpin.messages.desired import Engine, ServiceSpec
+from apricotpin.messages.desired import (
+    Engine,
+    ModelVersion,
+    ModelVersionChanged,
+    ServiceSpec,
+)
 from apricotpin.messages.fleet import LoadReport
 from apricotpin.messages.upstreams import (
     CancelPick,
     LoadedLayers,
     PickUpstream,
     UpstreamEntry,
+    UpstreamListed,
 )
 
 _NOW_S = 1000.0
@@ -84,6 +92,7 @@
         'full by reports': {'active': 16, 'queued': 2},
         'full by an old report': {'active': 16, 'queued': 2},
         'busy': {'active': 8},
+        'without room to begin': {'active': 16},
         'half full': {'active': 10},
         'switching': {'switching': True},
         'of version 2': {'version': 2},
@@ -148,6 +157,42 @@
     assert detail.endswith(f': {why}'), detail
 
 
+@when('dispatch chooses for a request that is {kind}')
+def choose_for(context, kind):
+    context.chosen = decisions.choose(
+        context.state,
+        'drafting',
+        (),
+        _NOW_S,
+        random.Random(1).random,
+        kind == 'resumed',
+    )
+
+
+@given('dispatch hears of version {version:d} declared {ago:g} s ago')
+def hears_declared(context, version, ago):
+    context.suspended_s = 0
+    original = clocks.now_s
+    clocks.now_s = lambda: original() + context.suspended_s
+    context.cleanups = [lambda: setattr(clocks, 'now_s', original)]
+    context.state = make_state()
+    declared = ModelVersionChanged(ModelVersion('m', version), ago)
+    Beliefs(context.state).change_version(declared, Reply())
+    context.service = DispatchService(Kernel('entry'), context.state)
+
+
+@when("dispatch's host is suspended for {suspended:g} s")
+def suspend(context, suspended):
+    context.suspended_s = suspended
+
+
+@then('dispatch picks {picked} of a worker with version 1')
+def picks(context, picked):
+    context.service.list_upstream(UpstreamListed(_entry('0')), Reply())
+    outcome = _ask(context.service, 'first', 0).get(timeout=1)
+    assert outcome.is_ok() == (picked == 'one request'), outcome
+
+
 @when('dispatch chooses {count:d} times')
 def choose_often(context, count):
     context.random = random.Random(1).random
--- a/tests/steps/follower_steps.py
+++ b/tests/steps/follower_steps.py
@@ -2,9 +2,24 @@
 
 from behave import given, then, when
 
+from gevent import sleep
+from result import Ok
+
 from apricotpin.components.follower import decisions
+from apricotpin.components.follower.events import FeedRead
+from apricotpin.components.follower.service import FollowerService
+from apricotpin.core import Kernel, Reply
+from apricotpin.messages.desired import ModelVersion, ModelVersionChanged
+from apricotpin.messages.feeds import Feed, FeedEntry, FeedPage
+from apricotpin.messages.fleet import TargetHeard
 from apricotpin.messages.upstreams import UpstreamEntry
 
+_SETTLE_S = 0.02
+_KNOWN_FOR_S = {
+    'a host knowing it 3 s': 3,
+    'a host not knowing when': -1,
+}
+
 
 def _entry(draining):
     return UpstreamEntry('w', 's', '10.0.0.1:80', 'a', 1, draining, 1, None)
@@ -54,3 +69,40 @@
 @then('follower {fate} for it')
 def asks_or_not(context, fate):
     assert context.asked == (fate == 'does not ask')
+
+
+def _keep(context):
+    def keep(message, reply):
+        context.announced.append(message)
+        reply.ok()
+
+    return keep
+
+
+@when('follower learns of version {version:d} from {source}')
+def learns_of(context, version, source):
+    if not hasattr(context, 'follower'):
+        context.announced = []
+        kernel = Kernel('entry')
+        kernel.register('listener', {ModelVersionChanged: _keep(context)})
+        context.cleanups = [kernel.stop]
+        context.follower = FollowerService(kernel)
+    known_for_s = _KNOWN_FOR_S.get(source)
+    if known_for_s is not None:
+        heard = TargetHeard('m', version, known_for_s)
+        context.follower.hear_target(heard, Reply())
+        return
+    entry = FeedEntry('version/m', ModelVersion('m', version))
+    page = Ok(FeedPage([entry], 1))
+    whole = source == 'a snapshot'
+    context.follower.take_read(FeedRead(Feed.OPERATOR, page, whole), Reply())
+
+
+@then('follower announced that version {version:d} is known for {age}')
+def announced_age(context, version, age):
+    sleep(_SETTLE_S)
+    newest = context.announced[-1]
+    known_for_s = newest.known_for_s
+    found = 'an unknown time' if known_for_s < 0 else f'{known_for_s:g} s'
+    assert newest.target.version == version
+    assert found == age, found
--- a/tests/steps/gateway_leaving_steps.py
+++ b/tests/steps/gateway_leaving_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from gevent import sleep, socket, spawn
 
+from apricotpin.components.gateway import attempts
 from apricotpin.components.gateway.application import Call
 from apricotpin.components.gateway.callers import RawCall
 from apricotpin.components.gateway.service import BeginCall, Begun, EndCall
@@ -31,6 +32,8 @@
 from tests.upstream_fake import FakeUpstream
 
 _SETTLE_S = 0.1
+# Longer than a slow connection takes to open.
+_OPENED_S = 0.2
 
 
 class _Body:
@@ -119,6 +122,18 @@
     context.cleanups = [context.world.close]
 
 
+@given("gateway's worker takes {opens:g} s to accept a connection")
+def opens_slowly(context, opens):
+    original = attempts.connect
+
+    def connect(address, deadline_s):
+        sleep(opens)
+        return original(address, deadline_s)
+
+    attempts.connect = connect
+    context.cleanups.append(lambda: setattr(attempts, 'connect', original))
+
+
 @when("gateway's caller leaves {moment}")
 def leaves(context, moment):
     if moment == 'before it is sent':
@@ -133,6 +148,7 @@
 def has_to_begin(context, by):
     begin_by_s = None if by == 'at any time' else time.monotonic() + 0.05
     context.world.give_worker(begin_by_s)
+    sleep(_OPENED_S)
 
 
 @then('gateway asked dispatch for {count:d} workers')
--- a/tests/steps/installer_steps.py
+++ b/tests/steps/installer_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 from gevent.event import AsyncResult
-from result import Ok
+from result import Err, Ok
 
 from apricotpin.components.installer import (
     decisions,
@@ -17,6 +17,7 @@
 from apricotpin.components.installer.service import InstallerService
 from apricotpin.components.installer.state import Install, WorkerView
 from apricotpin.core import Kernel, Reply
+from apricotpin.errors import ErrorKind, Failure
 from apricotpin.messages.fleet import EntryHello, WeightsTarget
 from apricotpin.messages.pieces import WorkerReport
 from apricotpin.messages.upstreams import LoadedLayers
@@ -185,7 +186,8 @@
 def _ask_piece(installer):
     waiter = AsyncResult()
     installer.next_piece(events.NextPiece(), Reply(waiter))
-    return waiter.get(timeout=1).ok_value
+    assert waiter.ready(), 'no piece is asked for'
+    return waiter.get().ok_value
 
 
 @given('installer has {count:d} pieces of version 2 when it hears of version 3')
@@ -243,16 +245,55 @@
     context.installer.take_report(events.ReportRead(Ok(report)), Reply())
 
 
+@then('installer fetches a piece of version {version:d} next')
+def fetches_next(context, version):
+    assert _ask_piece(context.installer).install.version == version
+
+
 @then('installer asks for a piece of version {version:d}')
 def asks_for(context, version):
     context.installer.take_load(_scanned(context.installer), Reply())
     assert _ask_piece(context.installer).install.version == version
 
 
+_FAILURES = {
+    'does not answer': ErrorKind.PEER_UNAVAILABLE,
+    'has no piece yet': ErrorKind.CHUNK_NOT_YET,
+}
+
+
+def _fail(installer, fails):
+    order = _ask_piece(installer)
+    failed = Err(Failure(_FAILURES[fails], ''))
+    fetched = events.PieceFetched(order, order.addresses[0], failed)
+    installer.take_piece(fetched, Reply())
+    return order.addresses[0]
+
+
+@given('installer knows a second entry host')
+def knows_second(context):
+    context.installer.hear_entry(
+        EntryHello('e2', '10.0.0.8:7700', 'a', []), Reply()
+    )
+
+
+@when("installer's entry host {fails}")
+def entry_host_fails(context, fails):
+    context.first_asked = _fail(context.installer, fails)
+
+
+@then('installer asks that host {order}')
+def asks_host(context, order):
+    addresses = _ask_piece(context.installer).addresses
+    place = {'first': 0, 'last': -1}[order]
+    assert addresses[place] == context.first_asked, addresses
+
+
 def _scanned(installer):
     waiter = AsyncResult()
     installer.next_load(events.NextLoad(), Reply(waiter))
-    order = waiter.get(timeout=1).ok_value
+    assert waiter.ready(), 'no step is asked for'
+    order = waiter.get().ok_value
     return events.LoadDone(order, True, {})
 
 
