Near a version's bound, send only where a request begins at once

Cause: permission was judged when a request was sent, and the work begins when the worker comes to it. Sending to an older version ended 0.8 s before its bound; in the record both requests were sent about 1 s before it to the last worker of that version and waited there for 1,006 ms and 1,116 ms, since all entry hosts chose it at once and each let it have two requests more than slots, or eight more for a resumed stream.

Now, in the last 2 s of a version, a worker gets a request only if a slot is free after what the other hosts may have sent since its last report, by the own rate of requests. A stream is taken back 0.3 s before the bound in place of 0.15 s: a host learns of a version up to 0.15 s after its acknowledgement. Streams taken back no longer count against their worker.

Taking back alone does not help where a worker goes on after the connection was closed, which the platform allows.

The rows on when a stream must begin follow the larger margin, which is stricter.

--- a/apricotpin/components/dispatch/const.py
+++ b/apricotpin/components/dispatch/const.py
@@ -34,8 +34,16 @@
 # that a request waits at the worker.
 VERSION_MARGIN_S: Final = 0.8
 # A stream that has not begun on an older version by this long before the
-# bound is taken back, for the way to the worker.
-BEGIN_MARGIN_S: Final = 0.15
+# bound is taken back: a host learns of a version up to 0.15 s after its
+# acknowledgement, and the worker has to notice the closed connection.
+BEGIN_MARGIN_S: Final = 0.3
+# On a version whose bound comes sooner than this, a request is sent only to
+# a worker with a free slot. One that waits there begins too late, or is
+# taken back after it has waited in vain.
+NO_QUEUE_S: Final = 2.0
+# The own rate of requests, by which that of other hosts is estimated, is
+# taken over this time.
+RATE_WINDOW_S: Final = 2
 # Part of the shared retry budget that one host may use of its even share,
 # for clocks and host lists that disagree.
 BUDGET_SHARE: Final = 0.7
--- a/apricotpin/components/dispatch/decisions.py
+++ b/apricotpin/components/dispatch/decisions.py
@@ -45,6 +45,7 @@
         upstream
         for upstream in serving
         if has_room(upstream, engine is not None, now_s, urgent)
+        and may_begin(state, upstream, len(serving), now_s)
     ]
     if not free:
         detail = f'{len(serving)} workers of {service} are full'
@@ -118,6 +119,39 @@
     return load_of(upstream, now_s) < slots + ahead
 
 
+def may_begin(
+    state: DispatchState,
+    upstream: Upstream,
+    serving: int,
+    now_s: float,
+) -> bool:
+    """Tell whether a request sent now begins before its version's bound."""
+    begin_by_s = versions.begin_by_s(state, upstream, now_s)
+    if begin_by_s is None or begin_by_s - now_s > const.NO_QUEUE_S:
+        return True
+    unseen = unseen_load(state, upstream, serving, now_s)
+    return load_of(upstream, now_s) + unseen < upstream.entry.slots
+
+
+def unseen_load(
+    state: DispatchState,
+    upstream: Upstream,
+    serving: int,
+    now_s: float,
+) -> float:
+    """Estimate what other hosts sent to an upstream since its last report.
+
+    The hosts choose alike, so the last workers of a version are chosen by all
+    of them at once.
+    """
+    if not versions.is_fresh(upstream, now_s):
+        return 0
+    window = state.window(upstream.entry.service)
+    rate_per_s = recent_requests(window, now_s) / const.RATE_WINDOW_S
+    others = max(0, state.entry_hosts - 1)
+    return rate_per_s * others * (now_s - upstream.reported_s) / serving
+
+
 def cost_of(
     state: DispatchState,
     upstream: Upstream,
@@ -167,7 +201,12 @@
     rest_s: Callable[[int], float],
 ) -> None:
     """Remember how an attempt ended."""
-    blameless = {Verdict.ANSWERED, Verdict.BUSY, Verdict.LEFT}
+    blameless = {
+        Verdict.ANSWERED,
+        Verdict.BUSY,
+        Verdict.LEFT,
+        Verdict.OVERDUE,
+    }
     switching = upstream.report is not None and upstream.report.switching
     failed = verdict not in blameless and not switching
     weight = const.FAILURE_WEIGHT
@@ -190,6 +229,16 @@
     window.buckets[-1][1 + is_retry] += 1
 
 
+def recent_requests(window: Window, now_s: float) -> int:
+    """Count the requests of the last seconds before this one."""
+    second = int(now_s)
+    return sum(
+        requests
+        for counted, requests, _ in window.buckets
+        if second - const.RATE_WINDOW_S <= counted < second
+    )
+
+
 def may_retry(
     state: DispatchState,
     window: Window,
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -168,6 +168,29 @@
     )
 
 
+@given(
+    'dispatch knows a worker whose report with {active:d} active is '
+    '{age:g} s old'
+)
+def knows_reported(context, active, age):
+    context.state = make_state()
+    upstream = Upstream(_entry('0'))
+    report = make_report(active=active)
+    decisions.note_report(upstream, report, _NOW_S - age)
+    context.state.upstreams = {'0': upstream}
+
+
+@given(
+    'dispatch on one of {hosts:d} hosts counts {requests:d} requests a second'
+)
+def counts_rate(context, hosts, requests):
+    context.state.entry_hosts = hosts
+    window = context.state.window('drafting')
+    for second in (2, 1):
+        for _ in range(requests):
+            decisions.note_arrival(window, False, _NOW_S - second)
+
+
 @given('dispatch hears of version {version:d} declared {ago:g} s ago')
 def hears_declared(context, version, ago):
     context.suspended_s = 0
