Tell other hosts the age of a version by the clock that counts suspensions

The same cause as in dispatch, one place further: a host that had been suspended told others a version's age without the suspension, and they let requests begin on the older version for that much longer. Test: the row with a suspension of 4 s fails without the change.

--- a/apricotpin/components/presence/entry.py
+++ b/apricotpin/components/presence/entry.py
@@ -10,6 +10,7 @@
 from apricotpin.components.presence.endpoint import Received, send
 from apricotpin.const import SERVICE_CONFIGURATION, SERVICE_STORE
 from apricotpin.core import Kernel, Reply
+from apricotpin.helpers import clocks
 from apricotpin.helpers.addresses import Address
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages import desired, fleet, upstreams
@@ -91,7 +92,7 @@
         target = message.target
         since_s = None
         if message.known_for_s >= 0:
-            since_s = time.monotonic() - message.known_for_s
+            since_s = clocks.now_s() - message.known_for_s
         self._targets[target.model] = (target.version, since_s)
         self._greet_agents(near_only=False)
         reply.ok()
@@ -275,7 +276,7 @@
     targets: dict[str, Any],
 ) -> list[fleet.WeightsTarget]:
     """Return the version that the workers of each service shall hold."""
-    now_s = time.monotonic()
+    now_s = clocks.now_s()
     told = []
     for service_name, model in models.items():
         version, since_s = targets.get(model, _UNDECLARED)
--- a/tests/components/presence/groups.feature
+++ b/tests/components/presence/groups.feature
@@ -61,3 +61,13 @@
       | resumable, non_idempotent | kept |
       | stream                    | kept |
       | once                      | kept |
+
+  Scenario Outline: a version known for 1 s is told as known for <told> s after a suspension of <suspended> s
+    # The receiver would let requests begin on the older version for too long.
+    When presence tells a version known for 1 s after a suspension of <suspended> s
+    Then presence tells that it is known for <told> s
+
+    Examples:
+      | suspended | told |
+      | 0         | 1    |
+      | 4         | 5    |
--- a/tests/steps/presence_steps.py
+++ b/tests/steps/presence_steps.py
@@ -2,7 +2,8 @@
 
 from behave import then, when
 
-from apricotpin.components.presence import decisions
+from apricotpin.components.presence import decisions, entry
+from apricotpin.helpers import clocks
 from apricotpin.helpers.wire import decode_datagram, encode_datagram
 from apricotpin.messages.desired import RouteKind
 from apricotpin.messages.fleet import EntryHello, WeightsTarget
@@ -89,3 +90,22 @@
 @then('presence lets its requests be {fate}')
 def lets_be(context, fate):
     assert ('plain' in context.resumable) == (fate == 'cut')
+
+
+@when(
+    'presence tells a version known for 1 s after a suspension of '
+    '{suspended:g} s'
+)
+def tell_version(context, suspended):
+    original = clocks.now_s
+    since_s = original() - 1
+    clocks.now_s = lambda: original() + suspended
+    try:
+        context.told = entry.current_targets({'s': 'm'}, {'m': (2, since_s)})
+    finally:
+        clocks.now_s = original
+
+
+@then('presence tells that it is known for {told:d} s')
+def tells_known(context, told):
+    assert context.told[0].known_for_ms // 1000 == told, context.told
