Fetch an older version that may still serve while a newer one does not come

Cause: an agent worked on one version at a time.

Now the newest version has the link whenever an entry host has a piece of it, and an older one that can still serve for a second has it otherwise. An older version is installed once it is whole and the newer has stalled, and gives way where its bound is too near. An entry host that waits for the origin itself is not suspected until nothing has come for 3 s. The time left for a version is taken from the pieces fetched, without pauses.

The scenario in which an agent went back to an older version after two silent seconds is replaced by one in which it fetches its pieces at once and installs it when it is whole; of the fallback table, a version that is only partly there is now fetched and not installed.

--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -12,10 +12,18 @@
 # the requests that arrive on it.
 FETCHES: Final = 1
 FETCH_WAIT_MS: Final = 800
+# How long an entry host may take for a piece that it does not hold yet while
+# another version could use the link: a piece takes 69 ms there.
+PROBE_WAIT_MS: Final = 20
+# A version of which a piece was not there yet is asked for again after this.
+NOT_YET_PAUSE_S: Final = 0.2
 FETCH_TIMEOUT_S: Final = 1.8
 RETRY_S: Final = 0.15
 # An entry host that did not deliver is asked last for this time.
 SUSPECT_S: Final = 2.0
+# An entry host without the piece waits for the origin as all others do; it
+# is taken as cut off once nothing of the version has come for this long.
+SOURCE_STALL_S: Final = 3.0
 MANIFEST_INDEX: Final = -1
 STATUS_OK: Final = 'ok'
 STATUS_NOT_YET: Final = 'not_yet'
@@ -33,8 +41,15 @@
 # entry hosts keep for requests which wait at a worker.
 LOAD_RESERVE_S: Final = 1.2
 # A version of which nothing came for this long gives way to an older one
-# that the entry hosts hold: the origin may be away.
+# that is whole: the origin may be away.
 STALL_S: Final = 1.0
+# Entry hosts send to a version until this long before its bound.
+VERSION_RESERVE_S: Final = 0.8
+# Staging, checking and loading a whole version takes about this long.
+LOAD_S: Final = 0.7
+# A version that could serve for less than this after loading is not loaded:
+# the worker serves nothing meanwhile.
+LEAST_USE_S: Final = 1.0
 # What is staged may turn bad, so it is read again before an order if that
 # began longer ago than this; a worker may load what turned bad within 3 s.
 CHECK_FRESH_S: Final = 2.0
--- a/apricotpin/components/installer/decisions.py
+++ b/apricotpin/components/installer/decisions.py
@@ -11,6 +11,7 @@
     is_switching,
     may_switch,
 )
+from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.hashing import matches_sha256
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages.fleet import LoadReport
@@ -68,6 +69,38 @@
     return next(missing, None)
 
 
+def is_not_yet(failure: Failure) -> bool:
+    """Tell whether an entry host waits for a piece itself."""
+    return failure.kind is ErrorKind.CHUNK_NOT_YET
+
+
+def note_failed(
+    install: Install,
+    failure: Failure,
+    now_s: float,
+) -> bool:
+    """Note that a piece did not come; return whether its source is suspect."""
+    if not is_not_yet(failure):
+        return True
+    install.stock.flow.again_s = now_s + const.NOT_YET_PAUSE_S
+    return now_s - install.stock.flow.progress_s > const.SOURCE_STALL_S
+
+
+def note_fetched(
+    install: Install,
+    index: int,
+    content: bytes,
+    begun_s: float,
+    now_s: float,
+) -> None:
+    """Keep a piece that is sound."""
+    stock = install.stock
+    stock.pieces[index] = content
+    stock.flow.progress_s = now_s
+    stock.flow.fetched += 1
+    stock.flow.fetch_s += now_s - begun_s
+
+
 def is_sound(install: Install, index: int, content: bytes | None) -> bool:
     """Tell whether content is the piece that the manifest names."""
     return matches_sha256(content, install.stock.digests[index])
--- a/apricotpin/components/installer/events.py
+++ b/apricotpin/components/installer/events.py
@@ -24,16 +24,24 @@
 
 
 class PieceOrder:
-    """Name a piece and the entry hosts to ask, best first."""
+    """Name a piece and the entry hosts to ask, best first.
 
-    __slots__ = ('addresses', 'index', 'install')
+    An entry host that does not hold the piece waits wait_ms for it; begun_s
+    is when the piece was ordered.
+    """
+
+    __slots__ = ('addresses', 'begun_s', 'index', 'install', 'wait_ms')
 
     def __init__(
         self,
         install: Install,
         index: int,
         addresses: list[str],
+        wait_ms: int,
+        begun_s: float,
     ) -> None:
+        self.wait_ms = wait_ms
+        self.begun_s = begun_s
         self.install = install
         self.index = index
         self.addresses = addresses
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -81,7 +81,7 @@
         else:
             self._take_report(message.report.ok_value)
         self._kernel.send(SERVICE_PRESENCE, AnnounceLoad(self.own_report()))
-        self._versions.fall_back(self._view, time.monotonic())
+        self._versions.change_current(self._view, time.monotonic())
         self._go_on()
         reply.ok()
 
@@ -96,16 +96,16 @@
         install.stock.fetching.discard(index)
         reply.ok()
         if message.content.is_err():
-            self._entries.suspect(message.address)
-            _log_not_fetched(message)
+            self._note_failed(message)
             self._go_on()
             return
+        now_s = time.monotonic()
         content = message.content.ok_value
         if index == const.MANIFEST_INDEX:
             self._take_manifest(install, content)
         elif decisions.is_sound(install, index, content):
-            install.stock.pieces[index] = content
-            install.stock.progress_s = time.monotonic()
+            begun_s = message.order.begun_s
+            decisions.note_fetched(install, index, content, begun_s, now_s)
             _log_if_complete(install)
         else:
             logger.bind(index=index, source=message.address).warning(
@@ -127,6 +127,8 @@
             decisions.note_scan(install, message.pieces, message.done, now_s)
             _log_if_complete(install)
         elif message.done:
+            if action is decisions.Load.STAGE:
+                self._versions.note_staged(install, message.pieces)
             decisions.note_step(
                 install,
                 action,
@@ -203,7 +205,7 @@
         now_s = time.monotonic()
         self._note_suspension(install)
         switching.note_draining(install, self._view, now_s)
-        self._feed_fetchers(self._versions.wanted(), now_s)
+        self._feed_fetchers(now_s)
         if self._loaders:
             action = decisions.next_load(install, self._view, now_s)
             if action is not decisions.Load.WAIT:
@@ -219,40 +221,48 @@
             logger.bind(suspended_s=round(passed_s, 2)).info('host_suspended')
             install.stock.checked_s = None
 
-    def _feed_fetchers(self, install: Install, now_s: float) -> None:
-        view = self._view
-        if switching.is_installed(view, install):
+    def _note_failed(self, message: PieceFetched) -> None:
+        install = message.order.install
+        failure = message.content.err_value
+        if not decisions.note_failed(install, failure, time.monotonic()):
             return
+        self._entries.suspect(message.address)
+        logger.bind(
+            source=message.address,
+            version=install.version,
+            index=message.order.index,
+            pieces=len(install.stock.pieces),
+            error=repr(failure),
+        ).warning('piece_not_fetched')
+
+    def _feed_fetchers(self, now_s: float) -> None:
         while self._fetchers:
-            index = decisions.next_index(
-                install,
-                switching.is_reachable(view),
-                not self._settings.first_start,
-            )
-            if index is None:
-                return
-            addresses = self._entries.order(
-                f'{install.model}/{install.version}',
-                now_s,
-            )
-            if not addresses:
+            order = self._next_order(now_s)
+            if order is None:
                 return
-            if not install.stock.pieces:
-                install.stock.begun_s = now_s
-            install.stock.fetching.add(index)
-            order = PieceOrder(install, index, addresses)
+            order.install.stock.fetching.add(order.index)
             self._fetchers.pop().ok(order)
 
-
-def _log_not_fetched(message: PieceFetched) -> None:
-    install = message.order.install
-    logger.bind(
-        source=message.address,
-        version=install.version,
-        index=message.order.index,
-        pieces=len(install.stock.pieces),
-        error=repr(message.content.err_value),
-    ).warning('piece_not_fetched')
+    def _next_order(self, now_s: float) -> PieceOrder | None:
+        view = self._view
+        install = self._versions.wanted(view, now_s)
+        if install is None or switching.is_installed(view, install):
+            return None
+        index = decisions.next_index(
+            install,
+            switching.is_reachable(view),
+            not self._settings.first_start,
+        )
+        key = f'{install.model}/{install.version}'
+        addresses = self._entries.order(key, now_s)
+        if index is None or not addresses:
+            return None
+        if not install.stock.pieces:
+            install.stock.begun_s = now_s
+        wait_ms = const.FETCH_WAIT_MS
+        if self._versions.has_choice(view, now_s):
+            wait_ms = const.PROBE_WAIT_MS
+        return PieceOrder(install, index, addresses, wait_ms, now_s)
 
 
 def _log_if_complete(install: Install) -> None:
--- a/apricotpin/components/installer/state.py
+++ b/apricotpin/components/installer/state.py
@@ -3,13 +3,34 @@
 from apricotpin.messages.pieces import WorkerReport
 
 
+class PieceFlow:
+    """Hold how the pieces of one version come; times are monotonic.
+
+    progress_s is when the last piece came, fetch_s the time that the fetched
+    ones took. Nothing is asked for until again_s, since the entry host waits
+    for it itself.
+    """
+
+    __slots__ = ('again_s', 'fetch_s', 'fetched', 'progress_s')
+
+    def __init__(self, begun_s: float) -> None:
+        self.progress_s = begun_s
+        self.fetched = 0
+        self.fetch_s: float = 0
+        self.again_s = float('-inf')
+
+    @property
+    def piece_s(self) -> float:
+        """Return the time that a piece takes, by those that were fetched."""
+        return self.fetch_s / self.fetched if self.fetched else float('inf')
+
+
 class PieceStock:
     """Hold the pieces of one version; times are of the monotonic clock.
 
     pieces holds checked content; scanned holds once the worker's staged
-    pieces were looked through; progress_s is when the last piece came, and
-    checked_s when a check that found all that is staged right began, None
-    if there was none.
+    pieces were looked through; checked_s is when a check that found all that
+    is staged right began, None if there was none.
     """
 
     __slots__ = (
@@ -17,16 +38,16 @@
         'checked_s',
         'digests',
         'fetching',
+        'flow',
         'layers',
         'pieces',
-        'progress_s',
         'scanned',
         'staged',
     )
 
     def __init__(self, begun_s: float) -> None:
         self.begun_s = begun_s
-        self.progress_s = begun_s
+        self.flow = PieceFlow(begun_s)
         self.layers = 0
         self.digests: list[str] = []
         self.pieces: dict[int, bytes] = {}
@@ -44,17 +65,17 @@
 class Install:
     """Hold the progress of one version; times are of the monotonic clock.
 
-    switch_by_s is when the worker waits for no other any more; turn counts
-    the workers that switch first and group is 0 for those; finish_first holds
-    for a version that stands in for a newer one that does not come; may_cut
+    declared_s is when the version became known. switch_by_s is when the
+    worker waits for no other any more; turn counts
+    the workers that switch first and group is 0 for those; may_cut
     holds where what runs at the worker may go on at another one. draining_s
     is since when entry hosts are asked to send new requests elsewhere, None
     while they are not.
     """
 
     __slots__ = (
+        'declared_s',
         'draining_s',
-        'finish_first',
         'group',
         'may_cut',
         'model',
@@ -71,13 +92,14 @@
         version: int,
         begun_s: float,
         switch_by_s: float,
+        declared_s: float,
     ) -> None:
         self.model = model
         self.version = version
+        self.declared_s = declared_s
         self.switch_by_s = switch_by_s
         self.turn = 0
         self.group = 0
-        self.finish_first = False
         self.may_cut = False
         self.draining_s: float | None = None
         self.ordered_s: float | None = None
--- a/apricotpin/components/installer/switching.py
+++ b/apricotpin/components/installer/switching.py
@@ -37,7 +37,7 @@
         return True
     if not install.stock.digests or not may_switch(install, view, now_s):
         return False
-    return left_s(install, now_s) < const.DRAIN_S
+    return left_s(install) < const.DRAIN_S
 
 
 def is_drained(install: Install, view: WorkerView, now_s: float) -> bool:
@@ -59,11 +59,10 @@
         install.draining_s = now_s
 
 
-def left_s(install: Install, now_s: float) -> float:
+def left_s(install: Install) -> float:
     """Estimate the time until all pieces are here."""
-    missing = len(install.stock.digests) - len(install.stock.pieces)
+    stock = install.stock
+    missing = len(stock.digests) - len(stock.pieces)
     if not missing:
         return 0
-    if not install.stock.pieces:
-        return float('inf')
-    return (now_s - install.stock.begun_s) / len(install.stock.pieces) * missing
+    return stock.flow.piece_s * missing
--- a/apricotpin/components/installer/versions.py
+++ b/apricotpin/components/installer/versions.py
@@ -1,5 +1,7 @@
 """Which version is installed now, which waits, and which is given up."""
 
+from collections.abc import Iterable
+
 from loguru import logger
 
 from apricotpin.components.installer import const
@@ -39,34 +41,54 @@
             install.group = hello.group
             install.may_cut = hello.may_cut
 
-    def wanted(self) -> Install | None:
-        """Return the version whose pieces are fetched."""
-        if self.current is None:
-            return None
-        return wanted_now(self.current, self._parked)
+    def wanted(self, view: WorkerView, now_s: float) -> Install | None:
+        """Return the version of which a piece is fetched now, if any."""
+        order = self._fetch_order(view, now_s)
+        asked = [one for one in order if one.stock.flow.again_s <= now_s]
+        return asked[0] if asked else None
 
-    def fall_back(self, view: WorkerView, now_s: float) -> None:
-        """Go back to an older version while the newer one does not come."""
-        install = self.current
-        if install is None:
+    def has_choice(self, view: WorkerView, now_s: float) -> bool:
+        """Tell whether another version could use the link meanwhile."""
+        return len(self._fetch_order(view, now_s)) > 1
+
+    def change_current(self, view: WorkerView, now_s: float) -> None:
+        """Install another version where that one serves sooner or longer."""
+        before = self.current
+        if before is None:
             return
-        older = best_parked(self._parked, install, view, now_s)
-        if older is None:
+        install = better_install(
+            before, self._parked, view, self._bound_s, now_s
+        )
+        if install is None:
             return
         logger.bind(
-            version=older.version,
-            instead_of=install.version,
-            pieces=len(older.stock.pieces),
+            version=install.version,
+            instead_of=before.version,
+            pieces=len(install.stock.pieces),
+            pieces_instead_of=len(before.stock.pieces),
         ).info('version_fallback')
-        self._parked[install.version] = install
-        self.current = self._parked.pop(older.version)
-        self.current.stock.progress_s = now_s
-        self.current.finish_first = True
+        self._parked[before.version] = before
+        self.current = self._parked.pop(install.version)
+        install.stock.flow.progress_s = now_s
+
+    def note_staged(self, install: Install, indexes: Iterable[int]) -> None:
+        """Note that a worker holds one version's pieces in place of others."""
+        beside = [*self._parked.values(), self.current]
+        for other in beside:
+            if other is not None and other is not install:
+                other.stock.staged.difference_update(indexes)
 
     def drop_older(self, view: WorkerView) -> None:
         """Drop the versions that the worker's own replaces."""
         drop_older(self._parked, view.version)
 
+    def _fetch_order(self, view: WorkerView, now_s: float) -> list[Install]:
+        if self.current is None:
+            return []
+        return fetch_order(
+            self.current, self._parked, view, self._bound_s, now_s
+        )
+
     def _switch_by_s(self, target: WeightsTarget, now_s: float) -> float:
         allowed_s = self._bound_s * const.SWITCH_LATEST_SHARE
         return now_s - known_for_s(target) + allowed_s
@@ -84,6 +106,7 @@
             target.version,
             now_s,
             self._switch_by_s(target, now_s),
+            now_s - known_for_s(target),
         )
         following.stock.scanned = True
         self._parked[target.version] = following
@@ -111,9 +134,10 @@
             target.version,
             now_s,
             switch_by_s,
+            now_s - known_for_s(target),
         )
         install.switch_by_s = switch_by_s
-        install.stock.progress_s = now_s
+        install.stock.flow.progress_s = now_s
         if before is not None:
             # Until an entry host names the turn, later groups wait.
             install.group = before.group
@@ -155,56 +179,102 @@
         return False
     if is_installed(view, install):
         return True
-    if install.finish_first or install.stock.is_complete:
+    if install.stock.is_complete:
         return False
-    left = left_s(install, now_s)
+    left = left_s(install)
     if install.group == 0 and now_s + left <= install.switch_by_s:
         return False
-    return left + copy_s(install, now_s) > spare_s
+    copy_s = install.stock.flow.piece_s * len(install.stock.digests)
+    return left + copy_s > spare_s
 
 
-def copy_s(install: Install, now_s: float) -> float:
-    """Estimate the time that a whole copy takes, by the pieces that came."""
-    stock = install.stock
-    if not stock.pieces:
-        return float('inf')
-    ended_s = stock.progress_s if stock.is_complete else now_s
-    return (ended_s - stock.begun_s) / len(stock.pieces) * len(stock.digests)
+def fetch_order(
+    install: Install,
+    parked: dict[int, Install],
+    view: WorkerView,
+    bound_s: float,
+    now_s: float,
+) -> list[Install]:
+    """Return the versions to fetch, best first.
 
+    While a whole version waits for its turn, the next one is fetched; while a
+    version does not come, an older one that may still serve.
+    """
+    if install.stock.is_complete:
+        return [newest_after(install, parked) or install]
+    older = older_than(install, parked, view, bound_s, now_s)
+    return [install, *(one for one in older if not one.stock.is_complete)]
 
-def wanted_now(install: Install, parked: dict[int, Install]) -> Install:
-    """Return the version whose pieces are fetched.
 
-    While a whole version waits for its turn, the next one is fetched.
+def better_install(
+    install: Install,
+    parked: dict[int, Install],
+    view: WorkerView,
+    bound_s: float,
+    now_s: float,
+) -> Install | None:
+    """Return the version to install in place of the one in progress, if any.
+
+    While a newer version does not come, an older one that is whole is better;
+    one that could serve for too short a time gives way to the newer.
     """
-    newer = [version for version in parked if version > install.version]
-    if newer and install.stock.is_complete:
-        return parked[max(newer)]
-    return install
+    if is_installed(view, install) or install.ordered_s is not None:
+        return None
+    newer = newest_after(install, parked)
+    if newer is not None:
+        worth = is_worth_loading(install, newer, bound_s, now_s)
+        return None if worth else newer
+    if not is_stalled(install, now_s):
+        return None
+    older = older_than(install, parked, view, bound_s, now_s)
+    whole = [one for one in older if one.stock.is_complete]
+    return whole[0] if whole else None
 
 
-def is_stalled(install: Install, now_s: float) -> bool:
-    """Tell whether nothing of a version has come for some time."""
-    if install.stock.is_complete:
-        return False
-    return now_s - install.stock.progress_s > const.STALL_S
+def newest_after(
+    install: Install,
+    parked: dict[int, Install],
+) -> Install | None:
+    """Return the newest version after one."""
+    newer = [version for version in parked if version > install.version]
+    return parked[max(newer)] if newer else None
 
 
-def best_parked(
-    parked: dict[int, Install],
+def older_than(
     install: Install,
+    parked: dict[int, Install],
     view: WorkerView,
+    bound_s: float,
     now_s: float,
-) -> Install | None:
-    """Return an older version to install while a newer one does not come."""
-    if is_installed(view, install) or not is_stalled(install, now_s):
-        return None
-    newer = [
-        version
+) -> list[Install]:
+    """Return the older versions that are worth loading, newest first."""
+    older = [
+        one
         for version, one in parked.items()
-        if view.version < version < install.version and one.stock.digests
+        if view.version < version < install.version
+        and one.stock.digests
+        and is_worth_loading(one, install, bound_s, now_s)
     ]
-    return parked[max(newer)] if newer else None
+    return sorted(older, key=lambda one: one.version, reverse=True)
+
+
+def is_worth_loading(
+    older: Install,
+    newer: Install,
+    bound_s: float,
+    now_s: float,
+) -> bool:
+    """Tell whether a version can serve for some time before its bound."""
+    ends_s = newer.declared_s + bound_s - const.VERSION_RESERVE_S
+    ready_s = now_s + left_s(older) + const.LOAD_S
+    return ends_s - ready_s >= const.LEAST_USE_S
+
+
+def is_stalled(install: Install, now_s: float) -> bool:
+    """Tell whether nothing of a version has come for some time."""
+    if install.stock.is_complete:
+        return False
+    return now_s - install.stock.flow.progress_s > const.STALL_S
 
 
 def drop_older(parked: dict[int, Install], version: int) -> None:
--- a/apricotpin/components/installer/workers.py
+++ b/apricotpin/components/installer/workers.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from apricotpin.components.installer import const
-from apricotpin.components.installer.decisions import Load
+from apricotpin.components.installer.decisions import Load, is_not_yet
 from apricotpin.components.installer.events import (
     LoadDone,
     LoadOrder,
@@ -66,7 +66,7 @@
             SERVICE_INSTALLER,
             PieceFetched(order, address, content),
         )
-        if content.is_err():
+        if content.is_err() and not is_not_yet(content.err_value):
             gevent.sleep(const.RETRY_S)
 
 
@@ -120,7 +120,7 @@
             install.model,
             str(install.version),
             order.index,
-            const.FETCH_WAIT_MS,
+            order.wait_ms,
         ),
         const.FETCH_TIMEOUT_S,
     )
--- a/tests/components/installer/decisions.feature
+++ b/tests/components/installer/decisions.feature
@@ -97,11 +97,13 @@
     Then installer falls back to <version>
 
     Examples:
-      | silent | held               | version |
-      | 0.5    | known              | none    |
-      | 1.5    | known              | 2       |
-      | 1.5    | unknown            | none    |
-      | 1.5    | what the worker has | none   |
+      | silent | held                  | version |
+      | 0.5    | whole                 | none    |
+      | 1.5    | whole                 | 2       |
+      | 1.5    | whole, near its bound | none    |
+      | 1.5    | partly here           | none    |
+      | 1.5    | unknown               | none    |
+      | 1.5    | what the worker has   | none    |
 
   Scenario Outline: content that is <property> is <sound>
     When installer checks content that is <property>
@@ -138,7 +140,6 @@
       | 0         | checked   |
       | 2         | unchecked |
 
-  @known_red
   Scenario: a newer version that is not there yet leaves the link to the older one
     # A link that idles costs the time in which a version could be served.
     Given installer has 30 pieces of version 2 when it hears of version 3
@@ -156,15 +157,42 @@
       | fails            | order |
       | does not answer  | last  |
 
-    @known_red
-    Examples: a host that waits itself
+      Examples: a host that waits itself
       | fails            | order |
       | has no piece yet | first |
 
-  Scenario: an installer whose newer version does not come asks for the older
+  Scenario: an older version that becomes whole is installed while the newer does not come
     Given installer has 30 pieces of version 2 when it hears of version 3
-    When installer has waited 2 s in vain and a report arrives
-    Then installer asks for a piece of version 2
+    When installer's entry host has no piece yet
+    And installer fetches the rest of version 2
+    And installer has waited 2 s in vain and a report arrives
+    Then installer loads version 2
+
+  Scenario Outline: version 2 with <missing> of 4 pieces missing may serve for <left> s: <order>
+    # What can't serve before its bound must not take the link.
+    Given installer with a worker older and 1 of 4 pieces in turn 0
+    When installer has <missing> pieces of version 2 to come and <left> s
+    Then installer fetches versions <order>
+
+    Examples:
+      | missing | left | order |
+      | 2       | 6    | 3, 2  |
+      | 2       | 3    | 3     |
+      | 0       | 6    | 3     |
+
+  Scenario Outline: version 2, <left> s from its bound with <missing> pieces to come, gives way to <version>
+    # The worker serves nothing while it loads what may not serve afterwards.
+    Given installer with a worker older and 1 of 4 pieces in turn 0
+    When installer installs version 2, <left> s from its bound, with <missing> pieces of 0.5 s to come
+    Then installer falls back to <version>
+
+    Examples:
+      | left | missing | version |
+      | 4    | 0       | none    |
+      | 4    | 2       | none    |
+      | 3    | 0       | none    |
+      | 3    | 2       | 3       |
+      | 2    | 0       | 3       |
 
   Scenario Outline: with <known> and a worker that is <there>, <guess>, it fetches <index>
     When installer knows <known> of a version, its worker is <there> and it <guess>
--- a/tests/steps/installer_steps.py
+++ b/tests/steps/installer_steps.py
@@ -5,6 +5,7 @@
 import types
 
 from behave import given, then, when
+from gevent import sleep
 from gevent.event import AsyncResult
 from result import Err, Ok
 
@@ -14,6 +15,7 @@
     switching,
     versions,
 )
+from apricotpin.components.installer.const import NOT_YET_PAUSE_S
 from apricotpin.components.installer.service import InstallerService
 from apricotpin.components.installer.state import Install, WorkerView
 from apricotpin.core import Kernel, Reply
@@ -24,7 +26,9 @@
 
 _BEGUN_S = 100.0
 _LAYERS = 16
-_SLOW_COPY_S = 6
+_SLOW_COPY_S = 3
+_PIECE_S = 0.5
+_BOUND_S = 8
 _PIECES = [b'0', b'1', b'2', b'3']
 _HELD = {
     'older': (1, 16),
@@ -42,8 +46,10 @@
 
 
 def _install(version, held, worker=''):
-    install = Install('m', version, _BEGUN_S, _BEGUN_S + 6.24)
+    install = Install('m', version, _BEGUN_S, _BEGUN_S + 6.24, _BEGUN_S)
     stock = install.stock
+    stock.flow.fetched = held
+    stock.flow.fetch_s = held * _PIECE_S
     stock.layers = _LAYERS
     stock.digests = [] if worker == 'without a manifest' else _digests()
     stock.pieces = dict(enumerate(_PIECES[:held]))
@@ -73,9 +79,16 @@
     context.install.turn = turn
 
 
+def _take_as_fetched(install, after):
+    """Let the pieces that are here have taken this long together."""
+    install.stock.flow.fetched = len(install.stock.pieces)
+    install.stock.flow.fetch_s = after
+
+
 @when('installer decides after {after:g} s')
 def decide(context, after):
     context.now_s = _BEGUN_S + after
+    _take_as_fetched(context.install, after)
     switching.note_draining(context.install, context.view, _BEGUN_S)
     switching.note_draining(context.install, context.view, context.now_s)
 
@@ -120,7 +133,8 @@
 def hears(context, group, after, spare):
     now_s = _BEGUN_S + after
     context.install.group = group
-    context.install.stock.progress_s = now_s
+    context.install.stock.flow.progress_s = now_s
+    _take_as_fetched(context.install, after)
     context.replaces = versions.supersedes(
         context.install, context.view, 3, spare, now_s
     )
@@ -128,9 +142,13 @@
 
 @when('installer has parked version {version:d}')
 def has_parked(context, version):
-    context.wanted = versions.wanted_now(
-        context.install, {version: _install(version, 0)}
-    )
+    context.wanted = versions.fetch_order(
+        context.install,
+        {version: _install(version, 0)},
+        context.view,
+        _BOUND_S,
+        _BEGUN_S,
+    )[0]
 
 
 @then('installer fetches pieces of version {version:d}')
@@ -148,17 +166,56 @@
 )
 def parked(context, silent, held):
     newest = _install(3, 1)
-    older = _install(1 if held == 'what the worker has' else 2, 2)
+    if held.endswith('near its bound'):
+        newest.declared_s -= 6
+    count = 2 if held == 'partly here' else len(_PIECES)
+    older = _install(1 if held == 'what the worker has' else 2, count)
     if held == 'unknown':
         older.stock.digests = []
-    context.fallback = versions.best_parked(
-        {older.version: older},
+    context.fallback = versions.better_install(
         newest,
+        {older.version: older},
         context.view,
+        _BOUND_S,
         _BEGUN_S + silent,
     )
 
 
+@when(
+    'installer installs version 2, {left:g} s from its bound, '
+    'with {missing:d} pieces of 0.5 s to come'
+)
+def installs_near_bound(context, left, missing):
+    newer = _install(3, 0)
+    newer.declared_s = _BEGUN_S + left - _BOUND_S
+    context.fallback = versions.better_install(
+        _install(2, len(_PIECES) - missing),
+        {3: newer},
+        context.view,
+        _BOUND_S,
+        _BEGUN_S,
+    )
+
+
+@when('installer has {missing:d} pieces of version 2 to come and {left:g} s')
+def older_to_come(context, missing, left):
+    newest = _install(3, 1)
+    newest.declared_s = _BEGUN_S + left - _BOUND_S
+    order = versions.fetch_order(
+        newest,
+        {2: _install(2, len(_PIECES) - missing)},
+        context.view,
+        _BOUND_S,
+        _BEGUN_S,
+    )
+    context.order = ', '.join(str(one.version) for one in order)
+
+
+@then('installer fetches versions {order}')
+def fetches_versions(context, order):
+    assert context.order == order, context.order
+
+
 @then('installer falls back to {version}')
 def falls_back(context, version):
     found = context.fallback
@@ -215,8 +272,9 @@
             events.PieceFetched(order, 'e1', Ok(content)),
             Reply(),
         )
-    # So slow a version is not finished before a newer one.
-    order.install.stock.begun_s -= _SLOW_COPY_S
+    # So slow a version is not finished before a newer one, but in time.
+    order.install.group = 1
+    order.install.stock.flow.fetch_s += _SLOW_COPY_S
     _hear(installer, 3)
     context.installer = installer
 
@@ -238,9 +296,9 @@
 
 @when('installer has waited {waited:d} s in vain and a report arrives')
 def waited_in_vain(context, waited):
-    newest = _ask_piece(context.installer).install
+    newest = context.failed_order.install
     assert newest.version == 3, newest.version
-    newest.stock.progress_s -= waited
+    newest.stock.flow.progress_s -= waited
     report = WorkerReport(0, 0, False, 7, (LoadedLayers('m', 1, 0, 16),))
     context.installer.take_report(events.ReportRead(Ok(report)), Reply())
 
@@ -250,10 +308,9 @@
     assert _ask_piece(context.installer).install.version == version
 
 
-@then('installer asks for a piece of version {version:d}')
-def asks_for(context, version):
-    context.installer.take_load(_scanned(context.installer), Reply())
-    assert _ask_piece(context.installer).install.version == version
+@then('installer loads version {version:d}')
+def loads(context, version):
+    assert _scanned(context.installer).order.install.version == version
 
 
 _FAILURES = {
@@ -262,14 +319,6 @@
 }
 
 
-def _fail(installer, fails):
-    order = _ask_piece(installer)
-    failed = Err(Failure(_FAILURES[fails], ''))
-    fetched = events.PieceFetched(order, order.addresses[0], failed)
-    installer.take_piece(fetched, Reply())
-    return order.addresses[0]
-
-
 @given('installer knows a second entry host')
 def knows_second(context):
     context.installer.hear_entry(
@@ -279,12 +328,32 @@
 
 @when("installer's entry host {fails}")
 def entry_host_fails(context, fails):
-    context.first_asked = _fail(context.installer, fails)
+    order = _ask_piece(context.installer)
+    failed = Err(Failure(_FAILURES[fails], ''))
+    fetched = events.PieceFetched(order, order.addresses[0], failed)
+    context.installer.take_piece(fetched, Reply())
+    context.failed_order = order
+    context.first_asked = order.addresses[0]
+
+
+@when('installer fetches the rest of version 2')
+def fetches_rest(context):
+    order = _ask_piece(context.installer)
+    while order.install.version == 2:
+        content = f'{order.index}'.encode()
+        fetched = events.PieceFetched(order, 'e1', Ok(content))
+        context.installer.take_piece(fetched, Reply())
+        if order.install.stock.is_complete:
+            return
+        order = _ask_piece(context.installer)
 
 
 @then('installer asks that host {order}')
 def asks_host(context, order):
-    addresses = _ask_piece(context.installer).addresses
+    sleep(NOT_YET_PAUSE_S)
+    again = _ask_piece(context.installer)
+    assert again.install is context.failed_order.install
+    addresses = again.addresses
     place = {'first': 0, 'last': -1}[order]
     assert addresses[place] == context.first_asked, addresses
 
