Share a version's pieces out over the entry hosts of a data centre

One entry host, edge-genkai-a-8, fetched it (held after 4.4 s) and handed it to all agents of its data centre and to one host of each other: ten copies or more over a link of 20 Mbit/s, 8 s at least, beside requests. Ruled out: hosts that learn of the version late (all within 0.2 s, by model_version_declared), the origin (host genkai-8 had all pieces).

Pieces are in 16 stripes now, and hosts agree by rendezvous hashing who hands out each; a relay fetches the stripes that it hands out or is asked for. A piece still leaves the origin once and crosses each link between regions once. Which stripes a host leads is computed once for a version and list of hosts, not with every report.

--- a/apricotpin/components/installer/entries.py
+++ b/apricotpin/components/installer/entries.py
@@ -51,8 +51,8 @@
 ) -> list[str]:
     """Return the addresses of entry hosts to fetch from, best first.
 
-    All agents of a data centre prefer the same host, so that each piece
-    reaches the data centre once.
+    All agents of a data centre prefer the same host for a key, so that each
+    piece reaches the data centre once.
     """
     names = rendezvous_order(key, entries)
     names.sort(
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -22,6 +22,7 @@
 from apricotpin.const import SERVICE_PRESENCE
 from apricotpin.core import Kernel, Reply
 from apricotpin.helpers import clocks
+from apricotpin.helpers.stripes import source_key, stripe_of
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages.fleet import (
     AnnounceLoad,
@@ -253,9 +254,11 @@
             switching.is_reachable(view),
             not self._settings.first_start,
         )
-        key = f'{install.model}/{install.version}'
+        if index is None:
+            return None
+        key = source_key(install.model, install.version, stripe_of(index))
         addresses = self._entries.order(key, now_s)
-        if index is None or not addresses:
+        if not addresses:
             return None
         if not install.stock.pieces:
             install.stock.begun_s = now_s
--- a/apricotpin/components/relay/service.py
+++ b/apricotpin/components/relay/service.py
@@ -15,6 +15,7 @@
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.hashing import matches_sha256
 from apricotpin.helpers.metrics import count
+from apricotpin.helpers.stripes import stripe_of
 from apricotpin.messages import desired, fleet
 from apricotpin.messages.feeds import EntryHost
 from apricotpin.messages.weights import ChunkAnswer, FetchChunk
@@ -58,7 +59,7 @@
         reply: Reply,
     ) -> None:
         """Learn which entry hosts are there."""
-        self._sources.hosts = message.hosts
+        self._sources.change_hosts(message.hosts)
         reply.ok()
 
     def change_version(
@@ -72,10 +73,8 @@
         """
         target = message.target
         self._declared[target.model] = target.version
-        recent = 0 <= message.known_for_s < const.RECENT_S
-        if recent and self._sources.leads(target):
-            holding = self.holding(target.model, target.version)
-            self._raise_demand(holding, Demand.ALL)
+        if 0 <= message.known_for_s < const.RECENT_S:
+            self._fetch_led(target, Demand.ALL)
         reply.ok()
 
     def take_report(self, report: fleet.LoadReport, reply: Reply) -> None:
@@ -87,9 +86,10 @@
         now_s = time.monotonic()
         held = self._sources.take_report(report, now_s)
         settled = now_s - self._started_s > const.SETTLE_S
-        if held is not None and settled and self._lacks(held):
-            holding = self.holding(held.model, held.version)
-            self._raise_demand(holding, Demand.NEAR)
+        if held is not None and settled:
+            declared = self._declared.get(held.model, held.version)
+            if held.version == declared:
+                self._fetch_led(held, Demand.NEAR)
         reply.ok()
 
     def fetch_chunk(self, message: FetchChunk, reply: Reply) -> None:
@@ -106,7 +106,7 @@
             return
         holding = self.holding(*key)
         if message.index != const.MANIFEST_INDEX:
-            self._raise_demand(holding, Demand.ALL)
+            self._raise_demand(holding, stripe_of(message.index), Demand.ALL)
         content = holding.content.get(message.index)
         if content is not None:
             reply.ok(ChunkAnswer(const.STATUS_OK, content))
@@ -119,10 +119,12 @@
             ChunkAnswer(const.STATUS_NOT_YET),
         )
 
-    def is_fetching(self, model: str, version: int) -> bool:
-        """Tell whether the pieces of a version are here or on their way."""
+    def is_fetching(self, model: str, version: int, index: int) -> bool:
+        """Tell whether a piece of a version is here or on its way."""
         holding = self._holdings.get((model, version))
-        return holding is not None and holding.demand > Demand.MANIFEST
+        if holding is None:
+            return False
+        return holding.demand_of(index) > Demand.MANIFEST
 
     def holding(self, model: str, version: int) -> Holding:
         """Return what is held of a version; one not known yet is begun."""
@@ -176,45 +178,56 @@
         count(self._kernel, 'chunk_bytes_total', kind, len(content))
         if index == const.MANIFEST_INDEX:
             self._take_manifest(holding, content)
-        elif len(holding.content) == len(holding.digests) + 1:
+        elif not holding.missing:
             logger.bind(
                 model=holding.model,
                 version=holding.version,
+                pieces=len(holding.content) - 1,
                 took_ms=int((time.monotonic() - holding.started_s) * 1000),
             ).info('version_held')
         for waiter in holding.waiting.pop(index, []):
             waiter.ok(ChunkAnswer(const.STATUS_OK, content))
 
-    def _lacks(self, held: desired.ModelVersion) -> bool:
-        declared = self._declared.get(held.model, held.version)
-        if held.version != declared:
-            return False
-        if self.is_fetching(held.model, held.version):
-            return False
-        return self._sources.leads(held)
+    def _fetch_led(
+        self,
+        target: desired.ModelVersion,
+        demand: Demand,
+    ) -> None:
+        """Fetch the stripes that this host hands out in its data centre."""
+        for stripe in self._sources.led_stripes(target):
+            holding = self.holding(target.model, target.version)
+            self._raise_demand(holding, stripe, demand)
 
     def _take_manifest(self, holding: Holding, content: bytes) -> None:
         known = bool(holding.digests)
         holding.digests = json.loads(content)['digests']
-        if not known and holding.demand > Demand.MANIFEST:
-            self._want_pieces(holding)
+        if not known:
+            self._want_all(holding, holding.missing)
 
-    def _raise_demand(self, holding: Holding, demand: Demand) -> None:
-        """Fetch pieces: who asks for one asks for the others next."""
-        if holding.demand >= demand:
+    def _raise_demand(
+        self,
+        holding: Holding,
+        stripe: int,
+        demand: Demand,
+    ) -> None:
+        """Fetch a stripe: who asks for a piece asks for the others next."""
+        if holding.demand_of(stripe) >= demand:
             return
-        holding.demand = demand
-        if holding.digests:
-            self._want_pieces(holding)
+        holding.demands[stripe] = demand
+        missing = holding.missing
+        self._want_all(
+            holding,
+            [index for index in missing if stripe_of(index) == stripe],
+        )
 
-    def _want_pieces(self, holding: Holding) -> None:
-        for index, _ in enumerate(holding.digests):
-            if index not in holding.content:
-                self._want(holding, index)
+    def _want_all(self, holding: Holding, indexes: list[int]) -> None:
+        for index in indexes:
+            self._want(holding, index)
 
     def _take_bad(self, message: Fetched) -> None:
         holding, index = message.holding, message.index
-        if message.source != const.ORIGIN and holding.demand is Demand.NEAR:
+        near_only = holding.demand_of(index) is Demand.NEAR
+        if message.source != const.ORIGIN and near_only:
             # A staged piece that turned bad says nothing of the others.
             return
         self._sources.suspect(
--- a/apricotpin/components/relay/sources.py
+++ b/apricotpin/components/relay/sources.py
@@ -9,6 +9,7 @@
 from apricotpin.components.relay.holders import Holders
 from apricotpin.components.relay.state import Demand, Holding
 from apricotpin.errors import Failure
+from apricotpin.helpers.stripes import STRIPES, source_key, stripe_of
 from apricotpin.messages.desired import DesiredState, ModelVersion
 from apricotpin.messages.feeds import EntryHost
 from apricotpin.messages.fleet import LoadReport
@@ -18,8 +19,9 @@
     """Hold who may be asked for weights, and who failed lately."""
 
     __slots__ = (
-        'hosts',
         '_holders',
+        '_hosts',
+        '_led',
         '_origin',
         '_origin_place',
         '_own',
@@ -27,7 +29,9 @@
     )
 
     def __init__(self, own: EntryHost) -> None:
-        self.hosts: tuple[EntryHost, ...] = (own,)
+        self._hosts: tuple[EntryHost, ...] = (own,)
+        # Stripes by version; each report asks, so they are not computed anew.
+        self._led: dict[tuple[str, int], tuple[int, ...]] = {}
         self._own = own
         self._origin = ''
         self._origin_place = ''
@@ -41,6 +45,7 @@
             if spec.origin:
                 self._origin = spec.origin
                 self._origin_place = spec.data_centre
+        self._led.clear()
 
     def take_report(
         self,
@@ -50,11 +55,23 @@
         """Take an agent's report; return what its worker holds whole."""
         return self._holders.take(report, now_s)
 
-    def leads(self, target: ModelVersion) -> bool:
-        """Tell whether this host fetches a version for its data centre."""
-        key = _key(target.model, target.version)
-        chain = decisions.chain_of(self.hosts, self._origin_place, key)
-        return decisions.leads(self._own, chain)
+    def change_hosts(self, hosts: tuple[EntryHost, ...]) -> None:
+        """Learn which entry hosts are there."""
+        self._hosts = hosts
+        self._led.clear()
+
+    def led_stripes(self, target: ModelVersion) -> tuple[int, ...]:
+        """Return the stripes that this host fetches for its data centre."""
+        key = (target.model, target.version)
+        led = self._led.get(key)
+        if led is None:
+            led = tuple(
+                stripe
+                for stripe in range(STRIPES)
+                if self._leads(source_key(*key, stripe))
+            )
+            self._led[key] = led
+        return led
 
     def next_fetch(self, holding: Holding, index: int) -> Fetch | None:
         """Return from whom to fetch a piece now.
@@ -63,9 +80,9 @@
         """
         now_s = time.monotonic()
         agents = self._holders.of_version(holding.model, holding.version, now_s)
-        sources = self._order(holding, decisions.share_out(agents, index))
+        sources = self._order(holding, index, agents)
         is_piece = index != const.MANIFEST_INDEX
-        near_only = is_piece and holding.demand is not Demand.ALL
+        near_only = is_piece and holding.demand_of(index) is not Demand.ALL
         usable = [
             one
             for one in sources
@@ -95,16 +112,17 @@
     def _order(
         self,
         holding: Holding,
+        index: int,
         agents: tuple[str, ...],
     ) -> list[str]:
         return decisions.sources_of(
             self._own,
-            self.hosts,
+            self._hosts,
             self._origin_place,
-            _key(holding.model, holding.version),
-            agents,
+            source_key(holding.model, holding.version, stripe_of(index)),
+            decisions.share_out(agents, index),
         )
 
-
-def _key(model: str, version: int) -> str:
-    return f'{model}/{version}'
+    def _leads(self, key: str) -> bool:
+        chain = decisions.chain_of(self._hosts, self._origin_place, key)
+        return decisions.leads(self._own, chain)
--- a/apricotpin/components/relay/state.py
+++ b/apricotpin/components/relay/state.py
@@ -6,6 +6,7 @@
 
 from apricotpin.components.relay import const
 from apricotpin.core import Reply
+from apricotpin.helpers.stripes import stripe_of
 
 
 class Demand(enum.IntEnum):
@@ -26,7 +27,7 @@
     __slots__ = (
         'bad',
         'content',
-        'demand',
+        'demands',
         'digests',
         'idle_workers',
         'model',
@@ -43,8 +44,23 @@
         # Content by index; the manifest has the index -1.
         self.content: dict[int, bytes] = {}
         self.digests: list[str] = []
-        self.demand = Demand.MANIFEST
+        # What is fetched of each stripe; only the manifest of the others.
+        self.demands: dict[int, Demand] = {}
         self.wanted: deque[int] = deque([const.MANIFEST_INDEX])
         self.waiting: dict[int, list[Reply]] = {}
         self.idle_workers: list[Reply] = []
         self.bad: dict[int, int] = {}
+
+    def demand_of(self, index: int) -> Demand:
+        """Return the demand for a piece."""
+        return self.demands.get(stripe_of(index), Demand.MANIFEST)
+
+    @property
+    def missing(self) -> list[int]:
+        """Return the pieces that are fetched and not here yet."""
+        return [
+            index
+            for index, _ in enumerate(self.digests)
+            if index not in self.content
+            and self.demand_of(index) > Demand.MANIFEST
+        ]
