Let three hosts of a data centre read the desired state for the others

Between the first and the last host lay 0.5 s at version 5, 1.7 s at version 24 and 4.2 s at version 37; in the same seconds fetches of pieces between data centres timed out. Ruled out: the store (genkai's hosts had each version within 50 ms), a host on its own (all of two data centres were late).

Now three hosts of a data centre read the operator's records; the others take the desired state from one of these, half a second apart at least, and hear of a version with its age by a greeting that is sent at once. A host fetches from others only what it lacks for half a second or when its own read failed, and reads itself where nobody brought it up to date for 1.5 s. With three hosts or fewer in a data centre all of them read, as before.

--- a/apricotpin/components/follower/__init__.py
+++ b/apricotpin/components/follower/__init__.py
@@ -8,6 +8,8 @@
     FeedRead,
     GetPeers,
     GetRecords,
+    HearAgain,
+    ReadsItself,
 )
 from apricotpin.components.follower.peers import PeerReads
 from apricotpin.components.follower.reading import follow
@@ -48,6 +50,8 @@
             DesiredStateChanged: peers.change_state,
             TargetHeard: service.hear_target,
             ConfigHeard: peers.hear_config,
+            HearAgain: peers.hear_again,
+            ReadsItself: peers.reads_itself,
             EntryHostsChanged: peers.change_hosts,
             GetPeers: peers.peers,
             GetRecords: peers.records,
--- a/apricotpin/components/follower/const.py
+++ b/apricotpin/components/follower/const.py
@@ -21,6 +21,20 @@
 # about two seconds of its return.
 LAPSE_S: Final = 2.5
 LAPSE_CHECK_S: Final = 0.5
+# Hosts of a data centre that read the operator's records from the store; the
+# others take them from these. A desired state of 250 routes has some 70 KB,
+# and in a series of changes 13 hosts that all read it fill the link between
+# two regions.
+READERS: Final = 3
+# A host that does not read looks this often whether it has to.
+OFF_DUTY_S: Final = 0.5
+# Pause between two fetches of a desired state from another entry host.
+FETCH_PAUSE_S: Final = 0.5
+# A host that reads itself takes a desired state from another one only when
+# it has known of it for this long.
+BEHIND_S: Final = 0.5
+# A host that others did not bring up to date reads the store itself.
+STRANDED_S: Final = 1.5
 # After the store turned this host away, peers are asked first for this time.
 DIRECT_RETRY_S: Final = 1.5
 PEERS_ASKED: Final = 2
--- a/apricotpin/components/follower/decisions.py
+++ b/apricotpin/components/follower/decisions.py
@@ -1,6 +1,6 @@
 """Decide what entries of a feed mean for what this process believes."""
 
-from apricotpin.components.follower.const import LAPSE_S, PEER_TIMEOUT_S
+from apricotpin.components.follower.const import LAPSE_S
 from apricotpin.errors import ErrorKind
 from apricotpin.messages.feeds import Feed, FeedPage, FeedRecord, FeedRecords
 from apricotpin.messages.upstreams import UpstreamEntry
@@ -69,11 +69,6 @@
     return [one for one in listing.known if one not in listed]
 
 
-def is_asked(asked_version: int, asked_ago_s: float, version: int) -> bool:
-    """Tell whether a version was asked for and may still arrive."""
-    return version <= asked_version and asked_ago_s < PEER_TIMEOUT_S
-
-
 class Memory:
     """Hold the records of each feed as they were read last."""
 
--- a/apricotpin/components/follower/events.py
+++ b/apricotpin/components/follower/events.py
@@ -4,6 +4,7 @@
 
 from apricotpin.errors import Failure
 from apricotpin.messages.feeds import Feed, FeedPage
+from apricotpin.messages.fleet import ConfigHeard
 
 
 class FeedRead:
@@ -28,6 +29,21 @@
     __slots__ = ()
 
 
+class ReadsItself:
+    """Ask whether this host reads the operator's records from the store."""
+
+    __slots__ = ()
+
+
+class HearAgain:
+    """Carry a greeting that was not followed at once."""
+
+    __slots__ = ('heard',)
+
+    def __init__(self, heard: ConfigHeard) -> None:
+        self.heard = heard
+
+
 class GetRecords:
     """Ask for the records of a feed as far as this host knows them."""
 
--- a/apricotpin/components/follower/peers.py
+++ b/apricotpin/components/follower/peers.py
@@ -2,42 +2,39 @@
 
 import time
 
+import gevent
 from loguru import logger
 
-from apricotpin.components.follower import decisions, reading
+from apricotpin.components.follower import decisions, duty, reading
 from apricotpin.components.follower.events import (
     FeedRead,
     GetPeers,
     GetRecords,
+    HearAgain,
+    ReadsItself,
 )
+from apricotpin.const import SERVICE_CONFIGURATION
 from apricotpin.core import Kernel, Reply
 from apricotpin.messages.desired import DesiredStateChanged
-from apricotpin.messages.feeds import ReadFeed
+from apricotpin.messages.feeds import Feed, ReadFeed
 from apricotpin.messages.fleet import ConfigHeard, EntryHostsChanged
 
 
 class PeerReads:
     """Own what was read last and which entry hosts may be asked."""
 
-    __slots__ = (
-        '_asked_s',
-        '_asked_version',
-        '_kernel',
-        '_memory',
-        '_peers',
-        '_version',
-    )
+    __slots__ = ('_duty', '_kernel', '_memory', '_postponed')
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._memory = decisions.Memory()
-        self._peers: tuple[str, ...] = ()
-        self._version = 0
-        self._asked_version = 0
-        self._asked_s = float('-inf')
+        self._duty = duty.Duty()
+        self._postponed = False
 
     def remember(self, message: FeedRead) -> None:
         """Keep what a read brought."""
+        if message.feed is Feed.OPERATOR:
+            self._duty.failing = message.page.is_err()
         if message.page.is_ok():
             decisions.remember(
                 self._memory,
@@ -48,45 +45,64 @@
 
     def change_state(self, message: DesiredStateChanged, reply: Reply) -> None:
         """Note which desired state this host has."""
-        self._version = message.state.version
+        duty.note_known(self._duty, message.state.version)
         reply.ok()
 
+    def reads_itself(self, _message: ReadsItself, reply: Reply) -> None:
+        """Answer whether this host reads the operator's records itself."""
+        reply.ok(duty.reads_itself(self._duty, time.monotonic()))
+
     def records(self, message: GetRecords, reply: Reply) -> None:
         """Answer with the records of a feed as they were read last."""
         reply.ok(decisions.recall(self._memory, message.feed))
 
     def hear_config(self, message: ConfigHeard, reply: Reply) -> None:
         """Fetch a newer desired state from the host that has it."""
-        now_s = time.monotonic()
-        asked = decisions.is_asked(
-            self._asked_version,
-            now_s - self._asked_s,
-            message.version,
-        )
-        if message.version > self._version and not asked:
-            self._asked_version = message.version
-            self._asked_s = now_s
-            logger.bind(
-                version=message.version,
-                entry_host=message.peer_address,
-                known=self._version,
-            ).info('desired_state_heard')
-            self._kernel.spawn(
-                reading.fetch_from_peer,
-                self._kernel,
-                message.peer_address,
-            )
         reply.ok()
+        now_s = time.monotonic()
+        address = message.peer_address
+        duty.note_heard(self._duty, message.version, now_s)
+        behind = message.version > self._duty.known
+        if not behind or not duty.is_wanted_from(self._duty, address, now_s):
+            return
+        pause_s = duty.pause_left_s(self._duty, now_s)
+        if pause_s:
+            self._postpone(message, pause_s)
+            return
+        self._duty.asked_s = now_s
+        logger.bind(
+            version=message.version,
+            entry_host=address,
+            known=self._duty.known,
+        ).info('desired_state_heard')
+        self._kernel.spawn(reading.fetch_from_peer, self._kernel, address)
+
+    def hear_again(self, message: HearAgain, reply: Reply) -> None:
+        """Come back to a host that had a newer desired state."""
+        self._postponed = False
+        self.hear_config(message.heard, reply)
 
     def change_hosts(self, message: EntryHostsChanged, reply: Reply) -> None:
-        """Learn which entry hosts may read for this one."""
-        self._peers = tuple(host.peer_address for host in message.hosts[1:])
+        """Learn which entry hosts are there; this one is the first."""
+        self._duty.hosts = message.hosts
         reply.ok()
 
     def peers(self, _message: GetPeers, reply: Reply) -> None:
         """Answer with the addresses of other entry hosts."""
-        reply.ok(self._peers)
+        others = self._duty.hosts[1:]
+        reply.ok(tuple(host.peer_address for host in others))
 
     def read_feed(self, message: ReadFeed, reply: Reply) -> None:
         """Read a feed for another entry host."""
         self._kernel.spawn(reading.read_for_peer, self._kernel, message, reply)
+
+    def _postpone(self, message: ConfigHeard, pause_s: float) -> None:
+        if self._postponed:
+            return
+        self._postponed = True
+        gevent.spawn_later(
+            pause_s,
+            self._kernel.send,
+            SERVICE_CONFIGURATION,
+            HearAgain(message),
+        )
--- a/apricotpin/components/follower/reading.py
+++ b/apricotpin/components/follower/reading.py
@@ -14,6 +14,7 @@
     FeedRead,
     GetPeers,
     GetRecords,
+    ReadsItself,
 )
 from apricotpin.const import SERVICE_CONFIGURATION, SERVICE_STORE
 from apricotpin.core import Kernel, Reply
@@ -53,6 +54,11 @@
     reader = FeedReader(kernel, feed, wait_s)
     failures = 0
     while True:
+        if feed is Feed.OPERATOR and not _reads_itself(kernel):
+            # What came meanwhile is read as a whole, not change by change.
+            reader.offset = -1
+            gevent.sleep(const.OFF_DUTY_S)
+            continue
         whole = reader.offset < 0
         page = reader.read()
         kernel.send(SERVICE_CONFIGURATION, FeedRead(feed, page, whole))
@@ -64,6 +70,10 @@
             gevent.sleep(pause_s(failures))
 
 
+def _reads_itself(kernel: Kernel) -> bool:
+    return kernel.call(SERVICE_CONFIGURATION, ReadsItself()).unwrap_or(True)
+
+
 class FeedReader:
     """Own the position in a feed and whether a peer reads it for this host.
 
--- a/apricotpin/components/presence/entry.py
+++ b/apricotpin/components/presence/entry.py
@@ -95,6 +95,8 @@
             since_s = clocks.now_s() - message.known_for_s
         self._targets[target.model] = (target.version, since_s)
         self._greet_agents(near_only=False)
+        # Hosts that do not read the store learn of the version by this.
+        self._greet_entries()
         reply.ok()
 
     def list_upstream(
