Decode only the last of several desired states in one read

Callers: with changes in quick succession a host came to the last one after it had decoded all that a read brought, each with 250 routes (CONFIG).

Cause: every record of a page was decoded, also those that a later record of the same key replaces. Versions of models are all kept, since each has its own bound. Test: rows with nine records failed before; two versions stay two.

--- a/apricotpin/platform/store.py
+++ b/apricotpin/platform/store.py
@@ -24,6 +24,7 @@
 # The longest that a follower lets the store wait for a change.
 FEED_WAIT_S: Final = 4.0
 
+Records = list[tuple[str, bytes]]
 Decoder = Callable[[str, bytes], FeedEntry]
 
 _TOPICS: Final = types.MappingProxyType(
@@ -114,13 +115,27 @@
 
 def _decode(raw: RawPage, decoder: Decoder) -> FeedPage:
     entries = []
-    for key, content in raw.records:
+    for key, content in _not_replaced(raw.records):
         entry = decoder(key, content)
         entry.content = content
         entries.append(entry)
     return FeedPage(entries, raw.next_offset)
 
 
+def _not_replaced(records: Records) -> Records:
+    """Leave out records that a later one of the same key replaces.
+
+    Decoding a desired state of many routes takes tens of ms. Versions are all
+    kept, since the bound of each counts from its own declaration.
+    """
+    last = {key: position for position, (key, _) in enumerate(records)}
+    return [
+        (key, content)
+        for position, (key, content) in enumerate(records)
+        if last[key] == position or key.startswith(names.KEY_VERSION_PREFIX)
+    ]
+
+
 _ACTIONS: Final = types.MappingProxyType(
     {
         ReadSnapshot: _read_snapshot,
--- a/tests/platform/documents.feature
+++ b/tests/platform/documents.feature
@@ -70,3 +70,17 @@
     Given platform settings with surprise = {"a": 1}
     When platform reads the settings file
     Then platform settings are those of edge-1
+
+  Scenario Outline: of <count> records of <kind> in one read <decoded> are decoded
+    # In a series of changes, decoding each of them delays the last one.
+    Given a platform page with <count> records of <kind>
+    When platform decodes the page
+    Then platform decoded <decoded> of them, the newest as the last
+
+    Examples:
+      | count | kind             | decoded |
+      | 1     | a desired state  | 1       |
+      | 9     | a desired state  | 1       |
+      | 9     | a worker         | 1       |
+      # The bound of each version counts from its own declaration.
+      | 2     | a model version  | 2       |
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -7,11 +7,20 @@
 
 import yaml
 from behave import given, then, when
+from gevent.event import AsyncResult
 
+from apricotpin.core import Kernel, Reply
 from apricotpin.messages.calls import Handover
+from apricotpin.messages.feeds import (
+    DecodeRecords,
+    Feed,
+    FeedRecord,
+    FeedRecords,
+)
 from apricotpin.platform import call_codec
 from apricotpin.platform.operator_documents import operator_entry
 from apricotpin.platform.settings_file import read_settings
+from apricotpin.platform.store import StoreService
 from apricotpin.platform.worker_documents import upstream_entry
 from script.platform_fleet import BOUNDS
 
@@ -88,6 +97,42 @@
     context.entry = operator_entry('config', context.content)
 
 
+@given('a platform page with {count:d} records of {kind}')
+def page_of(context, count, kind):
+    feed, key, fields, number = {
+        'a desired state': (Feed.OPERATOR, 'config', _DESIRED, 'version'),
+        'a worker': (Feed.UPSTREAMS, 'i-1', _WORKER, 'slots'),
+        'a model version': (
+            Feed.OPERATOR,
+            'version/m',
+            {'model': 'm'},
+            'version',
+        ),
+    }[kind]
+    records = [
+        FeedRecord(key, json.dumps({**fields, number: position}).encode())
+        for position in range(1, count + 1)
+    ]
+    context.newest = count
+    context.number = number
+    context.records = DecodeRecords(feed, FeedRecords(count, records))
+
+
+@when('platform decodes the page')
+def decode_page(context):
+    answer = AsyncResult()
+    service = StoreService(Kernel('entry'), '127.0.0.1:1')
+    service.decode(context.records, Reply(answer))
+    context.page = answer.get(timeout=1).ok_value
+
+
+@then('platform decoded {count:d} of them, the newest as the last')
+def decoded_count(context, count):
+    entries = context.page.entries
+    assert len(entries) == count, entries
+    assert getattr(entries[-1].meaning, context.number) == context.newest
+
+
 @then('platform finds a fault in it')
 def finds_fault(context):
     assert context.entry.fault, context.entry.meaning
