--- a/apricotpin/components/dispatch/decisions.py
+++ b/apricotpin/components/dispatch/decisions.py
@@ -125,10 +125,16 @@
     serving: int,
     now_s: float,
 ) -> bool:
-    """Tell whether a request sent now begins before its version's bound."""
+    """Tell whether a request sent now begins before its version's bound.
+
+    What a busy link between data centres holds up reaches the worker after
+    it was taken back.
+    """
     begin_by_s = versions.begin_by_s(state, upstream, now_s)
     if begin_by_s is None or begin_by_s - now_s > const.NO_QUEUE_S:
         return True
+    if upstream.entry.data_centre != state.data_centre:
+        return False
     unseen = unseen_load(state, upstream, serving, now_s)
     return load_of(upstream, now_s) + unseen < upstream.entry.slots
 
--- a/tests/components/dispatch/choice.feature
+++ b/tests/components/dispatch/choice.feature
@@ -93,7 +93,8 @@
       | 2    | 2        | 7     | any time |
 
   Scenario Outline: a request that would begin past the bound is not sent to a worker behind
-    # A request that waits at a worker begins on the old version after its bound.
+    # A request that waits at a worker, or in a busy link on the way to it,
+    # begins on the old version after its bound.
     Given dispatch knows a worker that is <worker>
     And dispatch knows that version 2 was declared <ago> s ago
     When dispatch chooses for a request that is <kind>
@@ -103,10 +104,12 @@
       | worker                | ago | kind    | chosen     |
       | without room to begin | 6.5 | new     | overloaded |
       | without room to begin | 6.5 | resumed | overloaded |
+      | far                   | 6.5 | new     | overloaded |
 
     Examples: long before it, or with room
       | worker                | ago | kind    | chosen     |
       | without room to begin | 1   | new     | made       |
+      | far                   | 1   | new     | made       |
       | without room to begin | 1   | resumed | made       |
       | busy                  | 6.5 | new     | made       |
       | busy                  | 6.5 | resumed | made       |
