--- a/apricotpin/components/follower/const.py
+++ b/apricotpin/components/follower/const.py
@@ -22,9 +22,8 @@
 LAPSE_S: Final = 2.5
 LAPSE_CHECK_S: Final = 0.5
 # Hosts of a data centre that read the operator's records from the store; the
-# others take them from these. A desired state of 250 routes has some 70 KB,
-# and in a series of changes 13 hosts that all read it fill the link between
-# two regions.
+# others take them from these. In a series of changes, 13 hosts that all read
+# a desired state of 250 routes fill the link between two regions.
 READERS: Final = 3
 # A host that does not read looks this often whether it has to.
 OFF_DUTY_S: Final = 0.5
