Count what the hosts of a data centre sent to its workers since a report

Cause: each host saw its own attempts and a report up to 0.4 s old, and all hosts chose the same free workers in between. unseen_load estimates what the other hosts of the data centre sent since the report, by the own rate of attempts over the workers there; it now counts for every choice.

Tests: rows with 27 workers elsewhere and with a report of 1.3 s made the choice before. A version declared 4 s ago stands in the suspension table for one of 6 s, as 6 s without a report is near the bound now.

--- a/apricotpin/components/dispatch/beliefs.py
+++ b/apricotpin/components/dispatch/beliefs.py
@@ -1,6 +1,6 @@
 """Take what other services announce into the state of dispatch."""
 
-from apricotpin.components.dispatch import decisions
+from apricotpin.components.dispatch import budget
 from apricotpin.components.dispatch.state import DispatchState
 from apricotpin.core import Reply
 from apricotpin.helpers import clocks
@@ -43,8 +43,12 @@
         message: fleet.EntryHostsChanged,
         reply: Reply,
     ) -> None:
-        """Share the retry budget with the other entry hosts."""
+        """Share retry budget and workers with the other entry hosts."""
         self._state.entry_hosts = len(message.hosts)
+        self._state.near_hosts = sum(
+            host.data_centre == self._state.data_centre
+            for host in message.hosts
+        )
         reply.ok()
 
     def note_request(
@@ -54,5 +58,5 @@
     ) -> None:
         """Count a request of a caller."""
         window = self._state.window(message.service)
-        decisions.note_arrival(window, False, clocks.now_s())
+        budget.note_arrival(window, False, clocks.now_s())
         reply.ok()
--- a/apricotpin/components/dispatch/decisions.py
+++ b/apricotpin/components/dispatch/decisions.py
@@ -5,12 +5,8 @@
 
 from result import Err, Ok, Result
 
-from apricotpin.components.dispatch import const, versions
-from apricotpin.components.dispatch.state import (
-    DispatchState,
-    Upstream,
-    Window,
-)
+from apricotpin.components.dispatch import budget, const, versions
+from apricotpin.components.dispatch.state import DispatchState, Upstream
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.exchange import Verdict
 from apricotpin.messages.desired import Engine
@@ -41,11 +37,18 @@
     if not serving:
         detail = why_none(state, service, now_s)
         return Err(Failure(ErrorKind.NO_UPSTREAM, detail))
+    is_model = engine is not None
     free = [
         upstream
         for upstream in serving
-        if has_room(upstream, engine is not None, now_s, urgent)
-        and may_begin(state, upstream, len(serving), now_s)
+        if has_room(
+            upstream,
+            is_model,
+            now_s,
+            urgent,
+            unseen_load(state, upstream, serving, now_s),
+        )
+        and may_begin(state, upstream, serving, now_s)
     ]
     if not free:
         detail = f'{len(serving)} workers of {service} are full'
@@ -106,6 +109,7 @@
     is_model: bool,
     now_s: float,
     urgent: bool = False,
+    unseen: float = 0,
 ) -> bool:
     """Tell whether an upstream may be sent one more request now."""
     if upstream.rest_until_s > now_s:
@@ -116,46 +120,53 @@
     )
     if urgent:
         ahead += const.URGENT_AHEAD
-    return load_of(upstream, now_s) < slots + ahead
+    return load_of(upstream, now_s) + unseen < slots + ahead
 
 
 def may_begin(
     state: DispatchState,
     upstream: Upstream,
-    serving: int,
+    serving: list[Upstream],
     now_s: float,
 ) -> bool:
     """Tell whether a request sent now begins before its version's bound.
 
     What a busy link between data centres holds up reaches the worker after
-    it was taken back.
+    it was taken back, and of a worker without a recent report it is not known
+    whether a slot is free.
     """
     begin_by_s = versions.begin_by_s(state, upstream, now_s)
     if begin_by_s is None or begin_by_s - now_s > const.NO_QUEUE_S:
         return True
     if upstream.entry.data_centre != state.data_centre:
         return False
-    unseen = unseen_load(state, upstream, serving, now_s)
+    if not versions.is_fresh(upstream, now_s):
+        return False
+    alike = [one for one in serving if versions.is_behind(state, one, now_s)]
+    unseen = unseen_load(state, upstream, alike, now_s)
     return load_of(upstream, now_s) + unseen < upstream.entry.slots
 
 
 def unseen_load(
     state: DispatchState,
     upstream: Upstream,
-    serving: int,
+    serving: list[Upstream],
     now_s: float,
 ) -> float:
     """Estimate what other hosts sent to an upstream since its last report.
 
-    The hosts choose alike, so the last workers of a version are chosen by all
-    of them at once.
+    The hosts of a data centre choose alike among its workers, so a few of
+    these are chosen by all hosts at once before a report shows it.
     """
-    if not versions.is_fresh(upstream, now_s):
+    near = [
+        one for one in serving if one.entry.data_centre == state.data_centre
+    ]
+    if upstream not in near or not versions.is_fresh(upstream, now_s):
         return 0
     window = state.window(upstream.entry.service)
-    rate_per_s = recent_requests(window, now_s) / const.RATE_WINDOW_S
-    others = max(0, state.entry_hosts - 1)
-    return rate_per_s * others * (now_s - upstream.reported_s) / serving
+    rate_per_s = budget.recently_sent(window, now_s) / const.RATE_WINDOW_S
+    others = max(0, state.near_hosts - 1)
+    return rate_per_s * others * (now_s - upstream.reported_s) / len(near)
 
 
 def cost_of(
@@ -225,38 +236,3 @@
         upstream.rest_until_s = now_s + rest_s(upstream.failures)
     elif verdict is Verdict.ANSWERED:
         upstream.failures = 0
-
-
-def note_arrival(window: Window, is_retry: bool, now_s: float) -> None:
-    """Count a request or a retry."""
-    second = int(now_s)
-    if not window.buckets or window.buckets[-1][0] != second:
-        window.buckets.append([second, 0, 0])
-    window.buckets[-1][1 + is_retry] += 1
-
-
-def recent_requests(window: Window, now_s: float) -> int:
-    """Count the requests of the last seconds before this one."""
-    second = int(now_s)
-    return sum(
-        requests
-        for counted, requests, _ in window.buckets
-        if second - const.RATE_WINDOW_S <= counted < second
-    )
-
-
-def may_retry(
-    state: DispatchState,
-    window: Window,
-    now_s: float,
-) -> bool:
-    """Tell whether this host's share of the retry budget allows one more."""
-    bounds = state.bounds
-    oldest = now_s - bounds.retry_window_s - 1
-    while window.buckets and window.buckets[0][0] < oldest:
-        window.buckets.popleft()
-    requests = sum(bucket[1] for bucket in window.buckets)
-    retries = sum(bucket[2] for bucket in window.buckets)
-    allowance = bounds.retry_allowance / max(1, state.entry_hosts)
-    allowed = requests * bounds.retry_budget_ratio + allowance
-    return retries + 1 <= allowed * const.BUDGET_SHARE
--- a/apricotpin/components/dispatch/service.py
+++ b/apricotpin/components/dispatch/service.py
@@ -6,6 +6,7 @@
 from result import Err, Result
 
 from apricotpin.components.dispatch import (
+    budget,
     connections,
     const,
     decisions,
@@ -173,7 +174,7 @@
         now_s = clocks.now_s()
         window = self._state.window(message.service)
         retries = bool(message.retry_reason)
-        if retries and not decisions.may_retry(self._state, window, now_s):
+        if retries and not budget.may_retry(self._state, window, now_s):
             detail = f'the retries of {message.service} are used up'
             return Err(Failure(ErrorKind.RETRY_BUDGET_EMPTY, detail))
         chosen = decisions.choose(
@@ -184,8 +185,10 @@
             random.random,
             message.urgent,
         )
+        if chosen.is_ok():
+            budget.note_sent(window, now_s)
         if chosen.is_ok() and retries:
-            decisions.note_arrival(window, True, now_s)
+            budget.note_arrival(window, True, now_s)
             count_retry(self._kernel, message.retry_reason)
         return chosen.map(
             lambda upstream: self._take(upstream, message.ticket, now_s),
--- a/apricotpin/components/dispatch/state.py
+++ b/apricotpin/components/dispatch/state.py
@@ -52,14 +52,25 @@
         self.idle: list[IdleConnection] = []
 
 
+class Bucket:
+    """Count the requests of callers, retries and attempts of a second."""
+
+    __slots__ = ('requests', 'retries', 'second', 'sent')
+
+    def __init__(self, second: int) -> None:
+        self.second = second
+        self.requests = 0
+        self.retries = 0
+        self.sent = 0
+
+
 class Window:
-    """Count requests and retries of a service by second."""
+    """Count requests, retries and attempts of a service by second."""
 
     __slots__ = ('buckets',)
 
     def __init__(self) -> None:
-        # Each bucket is [second, requests, retries].
-        self.buckets: deque[list[int]] = deque()
+        self.buckets: deque[Bucket] = deque()
 
 
 class DispatchState:
@@ -69,6 +80,7 @@
         'bounds',
         'data_centre',
         'entry_hosts',
+        'near_hosts',
         'services',
         'targets',
         'upstreams',
@@ -80,6 +92,8 @@
         self.data_centre = data_centre
         self.bounds = bounds
         self.entry_hosts = 1
+        # Those of the own data centre, this one included.
+        self.near_hosts = 1
         self.services: dict[str, ServiceSpec] = {}
         # When each declared version of a model became known.
         self.targets: dict[str, dict[int, float]] = {}
--- a/tests/components/dispatch/choice.feature
+++ b/tests/components/dispatch/choice.feature
@@ -114,34 +114,37 @@
       | busy                  | 6.5 | new     | made       |
       | busy                  | 6.5 | resumed | made       |
 
-  Scenario Outline: 30 requests/s on <hosts> hosts, a report <age> s old, <active> of 16 slots taken: <chosen>
+  Scenario Outline: 30 requests/s on <hosts> hosts, a report <age> s old, <active> of 16 slots taken, <elsewhere> elsewhere: <chosen>
     # Hosts that choose the last worker of a version at once fill its queue.
     Given dispatch knows a worker whose report with <active> active is <age> s old
     And dispatch knows that version 2 was declared 6.5 s ago
+    And dispatch knows <elsewhere> workers elsewhere that are as free
     And dispatch on one of <hosts> hosts counts 30 requests a second
     When dispatch chooses for a request that is new
     Then dispatch's choice is <chosen>
 
     Examples:
-      | hosts | age | active | chosen     |
-      | 1     | 0.2 | 8      | made       |
-      | 7     | 0.1 | 0      | overloaded |
-      | 3     | 0.1 | 8      | made       |
-      | 3     | 0.2 | 8      | overloaded |
-
-  Scenario Outline: a version declared 6 s ago counts <age> s after a suspension of <suspended> s
+      | hosts | age | active | elsewhere | chosen     |
+      | 1     | 0.2 | 8      | 0         | made       |
+      | 7     | 0.1 | 0      | 0         | overloaded |
+      | 7     | 0.1 | 0      | 27        | overloaded |
+      | 3     | 0.1 | 8      | 0         | made       |
+      | 3     | 0.2 | 8      | 0         | overloaded |
+      | 1     | 1.3 | 0      | 0         | overloaded |
+
+  Scenario Outline: a version declared 4 s ago counts <age> s after a suspension of <suspended> s
     # The monotonic clock stands still meanwhile, the bound does not.
-    Given dispatch hears of version 2 declared 6 s ago
+    Given dispatch hears of version 2 declared 4 s ago
     When dispatch's host is suspended for <suspended> s
     Then dispatch picks <picked> of a worker with version 1
 
     Examples: no suspension
       | suspended | age | picked      |
-      | 0         | 6   | one request |
+      | 0         | 4   | one request |
 
     Examples: a suspension past the bound
       | suspended | age | picked      |
-      | 3         | 9   | nothing     |
+      | 5         | 9   | nothing     |
 
   Scenario: a newer version does not prolong the bound of the one before it
     When dispatch judges version 1 with 2 known for 8 s and 3 for 1 s
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from gevent.event import AsyncResult
 
-from apricotpin.components.dispatch import decisions, versions
+from apricotpin.components.dispatch import budget, decisions, versions
 from apricotpin.components.dispatch.beliefs import Beliefs
 from apricotpin.components.dispatch.service import DispatchService
 from apricotpin.components.dispatch.state import DispatchState, Upstream, Window
@@ -180,15 +180,24 @@
     context.state.upstreams = {'0': upstream}
 
 
+@given('dispatch knows {count:d} workers elsewhere that are as free')
+def knows_elsewhere(context, count):
+    for number in range(1, count + 1):
+        name = str(number)
+        upstream = Upstream(_entry(name, 'far'))
+        decisions.note_report(upstream, make_report(), _NOW_S)
+        context.state.upstreams[name] = upstream
+
+
 @given(
     'dispatch on one of {hosts:d} hosts counts {requests:d} requests a second'
 )
 def counts_rate(context, hosts, requests):
-    context.state.entry_hosts = hosts
+    context.state.near_hosts = hosts
     window = context.state.window('drafting')
     for second in (2, 1):
         for _ in range(requests):
-            decisions.note_arrival(window, False, _NOW_S - second)
+            budget.note_sent(window, _NOW_S - second)
 
 
 @given('dispatch hears of version {version:d} declared {ago:g} s ago')
@@ -270,7 +279,7 @@
     context.window = Window()
     context.now_s = _NOW_S
     for _ in range(requests):
-        decisions.note_arrival(context.window, False, _NOW_S)
+        budget.note_arrival(context.window, False, _NOW_S)
 
 
 @when('dispatch counts {requests:d} requests and {passed:d} s pass')
@@ -282,8 +291,8 @@
 @then('dispatch allows {retries:d} retries')
 def allows(context, retries):
     allowed = 0
-    while decisions.may_retry(context.state, context.window, context.now_s):
-        decisions.note_arrival(context.window, True, context.now_s)
+    while budget.may_retry(context.state, context.window, context.now_s):
+        budget.note_arrival(context.window, True, context.now_s)
         allowed += 1
         assert allowed <= retries, allowed
     assert allowed == retries, allowed
