Keep the age of each declared version, and the larger of two

A host that learned of version 3 alone took the bound of version 1 from version 3, and since with the age that a greeting gave. Second, the first age that was heard was kept: edge-ariake-a-8 read version 3 3.45 s late, took it as new and told others so, who kept that against older ages.

Greetings carry the last three versions with their ages, the follower keeps an age for each, the larger of two holds, and a change that came after failed reads counts from the last read that succeeded. A host that does not know the version which follows a worker's takes that worker's bound as past.

--- a/apricotpin/components/dispatch/__init__.py
+++ b/apricotpin/components/dispatch/__init__.py
@@ -27,6 +27,7 @@
         {
             desired.DesiredStateChanged: beliefs.change_state,
             desired.ModelVersionChanged: beliefs.change_version,
+            desired.EarlierVersionDated: beliefs.change_version,
             upstreams.UpstreamListed: service.list_upstream,
             upstreams.UpstreamUnlisted: service.unlist_upstream,
             fleet.LoadReport: service.take_report,
--- a/apricotpin/components/dispatch/beliefs.py
+++ b/apricotpin/components/dispatch/beliefs.py
@@ -27,7 +27,7 @@
 
     def change_version(
         self,
-        message: desired.ModelVersionChanged,
+        message: desired.ModelVersionChanged | desired.EarlierVersionDated,
         reply: Reply,
     ) -> None:
         """Take a declared version; one of unknown age counts as old."""
--- a/apricotpin/components/dispatch/versions.py
+++ b/apricotpin/components/dispatch/versions.py
@@ -32,11 +32,18 @@
     version: int,
     now_s: float,
 ) -> bool:
-    """Tell whether a request may begin on a version."""
+    """Tell whether a request may begin on a version.
+
+    Versions are counted in ones. A host that started since then may not know
+    the one that follows a version, and takes its bound as past.
+    """
+    known = state.targets.get(model, {})
+    if known and version + 1 < min(known):
+        return False
     allowed_s = state.bounds.version_s - const.VERSION_MARGIN_S
     return all(
         declared <= version or now_s - since_s < allowed_s
-        for declared, since_s in state.targets.get(model, {}).items()
+        for declared, since_s in known.items()
     )
 
 
--- a/apricotpin/components/follower/const.py
+++ b/apricotpin/components/follower/const.py
@@ -38,5 +38,7 @@
 DIRECT_RETRY_S: Final = 1.5
 PEERS_ASKED: Final = 2
 PEER_TIMEOUT_S: Final = 0.7
+# Ages of one version that differ by less are the same, but for the way.
+AGE_STEP_S: Final = 0.1
 # Offset that asks a peer for what it remembers.
 REMEMBERED: Final = -2
--- a/apricotpin/components/follower/decisions.py
+++ b/apricotpin/components/follower/decisions.py
@@ -1,6 +1,6 @@
 """Decide what entries of a feed mean for what this process believes."""
 
-from apricotpin.components.follower.const import LAPSE_S
+from apricotpin.components.follower.const import AGE_STEP_S, LAPSE_S
 from apricotpin.errors import ErrorKind
 from apricotpin.messages.feeds import Feed, FeedPage, FeedRecord, FeedRecords
 from apricotpin.messages.upstreams import UpstreamEntry
@@ -98,3 +98,21 @@
         return FeedRecords(0, [], ErrorKind.LOG_UNAVAILABLE.value)
     records = [FeedRecord(key, content) for key, content in known.items()]
     return FeedRecords(memory.offsets[feed], records)
+
+
+def takes_age(
+    declared: dict[int, float | None],
+    version: int,
+    known_for_s: float,
+    now_s: float,
+) -> bool:
+    """Tell whether what is heard of a version is new.
+
+    Of two ages the larger holds: one host may have read the version late.
+    """
+    if version not in declared:
+        return True
+    if known_for_s < 0:
+        return False
+    since_s = declared[version]
+    return since_s is None or now_s - known_for_s < since_s - AGE_STEP_S
--- a/apricotpin/components/follower/service.py
+++ b/apricotpin/components/follower/service.py
@@ -10,9 +10,11 @@
 from apricotpin.components.follower.events import CheckLapsed, FeedRead
 from apricotpin.const import SERVICE_STORE
 from apricotpin.core import Kernel, Reply
+from apricotpin.helpers import clocks
 from apricotpin.messages.desired import (
     DesiredState,
     DesiredStateChanged,
+    EarlierVersionDated,
     ModelVersion,
     ModelVersionChanged,
 )
@@ -28,15 +30,14 @@
 class FollowerService:
     """Own what the store's feeds said last."""
 
-    __slots__ = ('_kernel', '_listing', '_state', '_targets', '_undated')
+    __slots__ = ('_declared', '_kernel', '_listing', '_state')
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._listing = decisions.Listing()
         self._state: DesiredState | None = None
-        self._targets: dict[str, int] = {}
-        # Models whose version is known without its age.
-        self._undated: set[str] = set()
+        # When each version of a model was declared, None where unknown.
+        self._declared: dict[str, dict[int, float | None]] = {}
 
     def take_read(self, message: FeedRead, reply: Reply) -> None:
         """Announce the changes that a read brought."""
@@ -44,7 +45,7 @@
         if message.page.is_ok():
             entries = message.page.ok_value.entries
             for entry in entries:
-                self._take_entry(message.feed, entry, message.whole)
+                self._take_entry(message, entry)
             if message.whole and message.feed is Feed.UPSTREAMS:
                 self._drop_missing({one.key for one in entries})
         reply.ok()
@@ -75,8 +76,8 @@
                 detail = repr(message.page.err_value)
                 bound.bind(error=detail).warning('dependency_lost')
 
-    def _take_entry(self, feed: Feed, entry: FeedEntry, whole: bool) -> None:
-        meaning = entry.meaning
+    def _take_entry(self, message: FeedRead, entry: FeedEntry) -> None:
+        feed, meaning = message.feed, entry.meaning
         if entry.fault:
             logger.bind(
                 feed=feed.value,
@@ -88,7 +89,8 @@
             self._take_removal(feed, entry.key)
         elif isinstance(meaning, ModelVersion):
             # A snapshot does not tell when its entries were written.
-            self._take_target(meaning, -1 if whole else 0)
+            known_for_s = -1 if message.whole else message.age_s
+            self._take_target(meaning, known_for_s)
         else:
             takers: dict[type, Callable[[Any], None]] = {
                 DesiredState: self._take_state,
@@ -119,21 +121,25 @@
         self._kernel.publish(DesiredStateChanged(state))
 
     def _take_target(self, target: ModelVersion, known_for_s: float) -> None:
-        known = self._targets.get(target.model, 0)
-        dates = target.model in self._undated and known_for_s >= 0
-        if target.version < known or (target.version == known and not dates):
+        versions = self._declared.setdefault(target.model, {})
+        newest = max(versions, default=0)
+        now_s = clocks.now_s()
+        if not decisions.takes_age(
+            versions, target.version, known_for_s, now_s
+        ):
             return
-        self._targets[target.model] = target.version
-        if known_for_s < 0:
-            self._undated.add(target.model)
-        else:
-            self._undated.discard(target.model)
+        versions[target.version] = None
+        if known_for_s >= 0:
+            versions[target.version] = now_s - known_for_s
         logger.bind(
             model=target.model,
             version=target.version,
             known_for_s=round(known_for_s, 2),
         ).info('model_version_declared')
-        self._kernel.publish(ModelVersionChanged(target, known_for_s))
+        announced: Any = ModelVersionChanged(target, known_for_s)
+        if target.version < newest:
+            announced = EarlierVersionDated(target, known_for_s)
+        self._kernel.publish(announced)
 
     def _take_upstream(self, entry: UpstreamEntry) -> None:
         known = self._listing.known.get(entry.instance_id)
--- a/apricotpin/components/presence/__init__.py
+++ b/apricotpin/components/presence/__init__.py
@@ -70,6 +70,7 @@
             entry.Tick: presence.tick,
             desired.DesiredStateChanged: presence.change_state,
             desired.ModelVersionChanged: presence.change_version,
+            desired.EarlierVersionDated: presence.change_version,
             upstreams.UpstreamListed: presence.list_upstream,
             upstreams.UpstreamUnlisted: presence.unlist_upstream,
             fleet.EntryHostListed: presence.list_entry,
--- a/apricotpin/components/presence/const.py
+++ b/apricotpin/components/presence/const.py
@@ -17,5 +17,8 @@
 # A stop does not wait longer for the store to drop this host's record.
 LEAVE_S: Final = 0.3
 DATAGRAM_MAX_BYTES: Final = 8192
+# Versions of a model that hosts tell each other: the newest, and those that
+# still bound older ones while versions follow each other quickly.
+VERSIONS_TOLD: Final = 3
 # Workers of one service and data centre switch versions in so many groups.
 SWITCH_GROUPS: Final = 3
--- a/apricotpin/components/presence/entry.py
+++ b/apricotpin/components/presence/entry.py
@@ -1,24 +1,23 @@
 """What an entry host says to agents and other entry hosts, and hears."""
 
 import time
-from typing import Any, Final
 
 from gevent import sleep, socket
 from loguru import logger
 
 from apricotpin.components.presence import const, decisions
 from apricotpin.components.presence.endpoint import Received, send
+from apricotpin.components.presence.versions import (
+    UNDECLARED_VERSION,
+    DeclaredVersions,
+)
 from apricotpin.const import SERVICE_CONFIGURATION, SERVICE_STORE
 from apricotpin.core import Kernel, Reply
-from apricotpin.helpers import clocks
 from apricotpin.helpers.addresses import Address
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages import desired, fleet, upstreams
 from apricotpin.messages.feeds import EntryHost, RecordHost
 
-# Versions are counted from one, and the first is never declared.
-_UNDECLARED: Final = (1, None)
-
 
 class Tick:
     """Send what is due."""
@@ -40,8 +39,8 @@
         '_recorded',
         '_resumable',
         '_socket',
-        '_targets',
         '_ticks',
+        '_versions',
     )
 
     def __init__(
@@ -59,7 +58,7 @@
         self._recorded: dict[str, EntryHost] = {}
         self._listed: dict[str, upstreams.UpstreamEntry] = {}
         self._models: dict[str, str] = {}
-        self._targets: dict[str, Any] = {}
+        self._versions = DeclaredVersions()
         self._config_version = 0
         self._resumable: set[str] = set()
         self._ticks = 0
@@ -85,15 +84,11 @@
 
     def change_version(
         self,
-        message: desired.ModelVersionChanged,
+        message: desired.ModelVersionChanged | desired.EarlierVersionDated,
         reply: Reply,
     ) -> None:
-        """Tell agents of a declared version at once."""
-        target = message.target
-        since_s = None
-        if message.known_for_s >= 0:
-            since_s = clocks.now_s() - message.known_for_s
-        self._targets[target.model] = (target.version, since_s)
+        """Tell agents and entry hosts of a declared version at once."""
+        self._versions.note(message.target, message.known_for_s)
         self._greet_agents(near_only=False)
         # Hosts that do not read the store learn of the version by this.
         self._greet_entries()
@@ -171,8 +166,8 @@
                 SERVICE_CONFIGURATION,
                 fleet.ConfigHeard(hello.peer_address, hello.config_version),
             )
-        for target in hello.targets:
-            if target.version == _UNDECLARED[0]:
+        for target in (*hello.earlier, *hello.targets):
+            if target.version == UNDECLARED_VERSION:
                 continue
             self._kernel.send(
                 SERVICE_CONFIGURATION,
@@ -225,7 +220,7 @@
                 self._greet(agent, data_centre)
 
     def _greet(self, agent: str, data_centre: str) -> None:
-        targets = current_targets(self._models, self._targets)
+        targets = self._versions.targets(self._models)
         turn, group, version, service_name = 0, 0, 0, ''
         seen = self._agents.get(agent)
         if seen is not None:
@@ -251,16 +246,16 @@
     def _version_for(self, report: fleet.LoadReport) -> int:
         """Return the version that an agent brings to its worker next."""
         model = self._models.get(report.service_name, '')
-        newest, _ = self._targets.get(model, _UNDECLARED)
-        return report.installing or newest
+        return report.installing or self._versions.newest(model)
 
     def _greet_entry(self, address: str) -> None:
         hello = fleet.EntryHello(
             self._own.host_id,
             self._own.peer_address,
             self._own.data_centre,
-            current_targets(self._models, self._targets),
+            self._versions.targets(self._models),
             config_version=self._config_version,
+            earlier=self._versions.earlier(self._models),
         )
         send(self._socket, address, hello)
 
@@ -273,24 +268,6 @@
             self._greet_entry(address)
 
 
-def current_targets(
-    models: dict[str, str],
-    targets: dict[str, Any],
-) -> list[fleet.WeightsTarget]:
-    """Return the version that the workers of each service shall hold."""
-    now_s = clocks.now_s()
-    told = []
-    for service_name, model in models.items():
-        version, since_s = targets.get(model, _UNDECLARED)
-        known_for_ms = -1
-        if since_s is not None:
-            known_for_ms = int((now_s - since_s) * 1000)
-        told.append(
-            fleet.WeightsTarget(service_name, model, version, known_for_ms),
-        )
-    return told
-
-
 def own_host(settings: HostSettings) -> EntryHost:
     """Return the record of this host."""
     return EntryHost(
--- a/apricotpin/messages/desired.py
+++ b/apricotpin/messages/desired.py
@@ -207,3 +207,16 @@
     def __init__(self, target: ModelVersion, known_for_s: float) -> None:
         self.target = target
         self.known_for_s = known_for_s
+
+
+class EarlierVersionDated:
+    """Announce how long a version has been declared that another replaced.
+
+    It still bounds the versions before it.
+    """
+
+    __slots__ = ('known_for_s', 'target')
+
+    def __init__(self, target: ModelVersion, known_for_s: float) -> None:
+        self.target = target
+        self.known_for_s = known_for_s
--- a/apricotpin/messages/fleet.py
+++ b/apricotpin/messages/fleet.py
@@ -33,6 +33,7 @@
     __slots__ = (
         'config_version',
         'data_centre',
+        'earlier',
         'group',
         'host_id',
         'may_cut',
@@ -53,7 +54,10 @@
         config_version: int = 0,
         may_cut: bool = False,
         turn_version: int = 0,
+        earlier: list[WeightsTarget] | None = None,
     ) -> None:
+        # Versions that the targets replaced; they bound those before them.
+        self.earlier = earlier or []
         self.host_id = host_id
         self.peer_address = peer_address
         self.data_centre = data_centre
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -151,6 +151,7 @@
   7: i64 config_version
   8: bool may_cut
   9: i64 turn_version
+  10: list<WeightsTarget> earlier
 }
 
 struct LoadReport {
--- a/tests/components/dispatch/choice.feature
+++ b/tests/components/dispatch/choice.feature
@@ -78,6 +78,8 @@
       | 1    | 2        | 7.5   | forbidden |
       | 2    | 1        | 99    | allowed   |
       | 2    | 3        | 9     | forbidden |
+      # A host that started since does not know when version 2 was declared.
+      | 1    | 3        | 1     | forbidden |
 
   Scenario Outline: a stream on version <held> with <declared> known for <known> s begins within <left>
     # A request that waits at a busy worker may begin after the bound.
