--- a/apricotpin/components/follower/decisions.py
+++ b/apricotpin/components/follower/decisions.py
@@ -80,7 +80,12 @@
 
 
 def remember(memory: Memory, feed: Feed, page: FeedPage, whole: bool) -> None:
-    """Take the records of a page; whole holds for a snapshot."""
+    """Take the records of a page; whole holds for a snapshot.
+
+    A snapshot of another host may be older than what is known here.
+    """
+    if whole and page.next_offset < memory.offsets.get(feed, 0):
+        return
     known = {} if whole else memory.records.get(feed, {})
     for entry in page.entries:
         if entry.content:
--- a/apricotpin/components/follower/events.py
+++ b/apricotpin/components/follower/events.py
@@ -8,22 +8,16 @@
 
 
 class FeedRead:
-    """Carry the outcome of one read; whole holds for a snapshot.
+    """Carry the outcome of one read; whole holds for a snapshot."""
 
-    age_s is how long ago what it brought may have been written, where reads
-    before it failed.
-    """
-
-    __slots__ = ('age_s', 'feed', 'page', 'whole')
+    __slots__ = ('feed', 'page', 'whole')
 
     def __init__(
         self,
         feed: Feed,
         page: Result[FeedPage, Failure],
         whole: bool,
-        age_s: float = 0,
     ) -> None:
-        self.age_s = age_s
         self.feed = feed
         self.page = page
         self.whole = whole
--- a/apricotpin/components/follower/reading.py
+++ b/apricotpin/components/follower/reading.py
@@ -61,10 +61,7 @@
             continue
         whole = reader.offset < 0
         page = reader.read()
-        kernel.send(
-            SERVICE_CONFIGURATION,
-            FeedRead(feed, page, whole, reader.age_s),
-        )
+        kernel.send(SERVICE_CONFIGURATION, FeedRead(feed, page, whole))
         if page.is_ok():
             failures = 0
             gevent.sleep(rest_s)
@@ -80,28 +77,20 @@
 class FeedReader:
     """Own the position in a feed and whether a peer reads it for this host.
 
-    age_s is how old what the last read brought may be, where reads before it
-    failed.
     The store may turn this host away while it serves others.
     """
 
     __slots__ = (
         '_client',
         '_direct_from_s',
-        '_failed',
         '_feed',
         '_kernel',
-        '_read_s',
         '_wait_s',
-        'age_s',
         'offset',
     )
 
     def __init__(self, kernel: Kernel, feed: Feed, wait_s: float) -> None:
         self.offset = -1
-        self.age_s: float = 0
-        self._failed = False
-        self._read_s = time.monotonic()
         self._kernel = kernel
         self._feed = feed
         self._wait_s = wait_s
@@ -123,20 +112,12 @@
         self,
         page: Result[FeedPage, Failure],
     ) -> Result[FeedPage, Failure]:
-        self._note_outcome(page.is_ok())
         if page.is_ok():
             self.offset = page.ok_value.next_offset
         elif page.err_value.kind is ErrorKind.LOG_OFFSET_EXPIRED:
             self.offset = -1
         return page
 
-    def _note_outcome(self, succeeded: bool) -> None:
-        now_s = time.monotonic()
-        self.age_s = now_s - self._read_s if self._failed else 0
-        self._failed = not succeeded
-        if succeeded:
-            self._read_s = now_s
-
     def _read_direct(self) -> Result[FeedPage, Failure]:
         return read_store(self._kernel, self._feed, self.offset, self._wait_s)
 
--- a/apricotpin/components/follower/service.py
+++ b/apricotpin/components/follower/service.py
@@ -89,8 +89,7 @@
             self._take_removal(feed, entry.key)
         elif isinstance(meaning, ModelVersion):
             # A snapshot does not tell when its entries were written.
-            known_for_s = -1 if message.whole else message.age_s
-            self._take_target(meaning, known_for_s)
+            self._take_target(meaning, -1 if message.whole else 0)
         else:
             takers: dict[type, Callable[[Any], None]] = {
                 DesiredState: self._take_state,
