Estimate the time for a version of which no piece was fetched yet

With nothing fetched the time left was infinite, so a version found at the worker was given up, an older one without a piece was never fetched beside the newer, and one without its manifest was not replaced (infinity times no pieces). Until a piece was fetched, one counts 0.07 s, its time on an agent's link; a version of which nothing is there gives way to a newer one.

Tests: 4 of 4 pieces missing, no manifest in both groups, pieces found at the worker.

--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -15,6 +15,9 @@
 # How long an entry host may take for a piece that it does not hold yet while
 # another version could use the link: a piece takes 69 ms there.
 PROBE_WAIT_MS: Final = 20
+# A piece of 32 KiB on an agent's link of 3.8 Mbit/s, taken until pieces of
+# the version were fetched.
+PIECE_S: Final = 0.07
 # A version of which a piece was not there yet is asked for again after this.
 NOT_YET_PAUSE_S: Final = 0.2
 FETCH_TIMEOUT_S: Final = 1.8
--- a/apricotpin/components/installer/state.py
+++ b/apricotpin/components/installer/state.py
@@ -1,5 +1,6 @@
 """What an agent knows of its worker and of the version to install."""
 
+from apricotpin.components.installer import const
 from apricotpin.messages.pieces import WorkerReport
 
 
@@ -21,8 +22,8 @@
 
     @property
     def piece_s(self) -> float:
-        """Return the time that a piece takes, by those that were fetched."""
-        return self.fetch_s / self.fetched if self.fetched else float('inf')
+        """Return the time that a piece takes, by those fetched before."""
+        return self.fetch_s / self.fetched if self.fetched else const.PIECE_S
 
 
 class PieceStock:
--- a/apricotpin/components/installer/versions.py
+++ b/apricotpin/components/installer/versions.py
@@ -179,6 +179,8 @@
         return False
     if is_installed(view, install):
         return True
+    if not install.stock.pieces:
+        return True
     if install.stock.is_complete:
         return False
     left = left_s(install)
--- a/tests/components/installer/decisions.feature
+++ b/tests/components/installer/decisions.feature
@@ -76,6 +76,8 @@
       | installed | 4      | 4     | 6.2   | 1     | replaces |
       # The origin may go away with the newer version.
       | older     | 0      | 1     | 6.2   | 0     | replaces |
+      | without a manifest | 0 | 1  | 6.2   | 0     | replaces |
+      | without a manifest | 0 | 1  | 6.2   | 1     | replaces |
       | older     | 1      | 1     | 6.2   | 0     | finishes |
       | older     | 1      | 2     | 6.2   | 0     | replaces |
 
@@ -105,6 +107,12 @@
       | 1.5    | unknown               | none    |
       | 1.5    | what the worker has   | none    |
 
+  Scenario: a version whose pieces were found at the worker is worth loading
+    # Without a fetched piece nothing tells how long one takes.
+    Given installer with a worker older and 3 of 4 pieces in turn 0
+    When installer found all pieces that it has at the worker
+    Then installer expects it within 0.07 s
+
   Scenario Outline: content that is <property> is <sound>
     When installer checks content that is <property>
     Then installer finds it <sound>
@@ -176,6 +184,7 @@
 
     Examples:
       | missing | left | order |
+      | 4       | 6    | 3, 2  |
       | 2       | 6    | 3, 2  |
       | 2       | 3    | 3     |
       | 0       | 6    | 3     |
--- a/tests/steps/installer_steps.py
+++ b/tests/steps/installer_steps.py
@@ -223,6 +223,18 @@
     assert fallback == version, fallback
 
 
+@when('installer found all pieces that it has at the worker')
+def found_all(context):
+    context.install.stock.flow.fetched = 0
+    context.install.stock.flow.fetch_s = 0
+
+
+@then('installer expects it within {left:g} s')
+def expects_within(context, left):
+    found = switching.left_s(context.install)
+    assert round(found, 3) == left, found
+
+
 @when('installer checks content that is {described}')
 def check(context, described):
     content = {'right': b'1', 'spoilt': b'x', 'missing': None}[described]
