Bound the fetches at the origin, and keep a relay that waits for it itself

Six stripes and two fetches a host make twelve at most.

Tests: the table of first sources; rows "has no piece, asked to wait" failed before.

--- a/apricotpin/components/relay/const.py
+++ b/apricotpin/components/relay/const.py
@@ -2,8 +2,13 @@
 
 from typing import Final
 
-# Fetches in progress for one version: enough to fill the origin's link.
-FETCHES: Final = 4
+# Fetches in progress for one version on each host. The hosts that share a
+# version out fill the origin's link of 9.9 Mbit/s together; more would make
+# each fetch longer than its time allows.
+FETCHES: Final = 2
+# A host without the piece waits for the origin itself; it is asked last once
+# it has given nothing for this long after it said so.
+SOURCE_STALL_S: Final = 1.0
 # Versions kept: the one in force and the one declared before it.
 VERSIONS_KEPT: Final = 2
 # A fetch of 32 KiB takes some 30 ms from the origin, a relay answers it as
--- a/apricotpin/components/relay/events.py
+++ b/apricotpin/components/relay/events.py
@@ -7,9 +7,12 @@
 
 
 class Fetched:
-    """Carry the outcome of a fetch back to the service."""
+    """Carry the outcome of a fetch back to the service.
 
-    __slots__ = ('content', 'holding', 'index', 'source')
+    waited holds where the source was given time to fetch the piece itself.
+    """
+
+    __slots__ = ('content', 'holding', 'index', 'source', 'waited')
 
     def __init__(
         self,
@@ -17,7 +20,9 @@
         index: int,
         source: str,
         content: Result[bytes, Failure],
+        waited: bool = False,
     ) -> None:
+        self.waited = waited
         self.holding = holding
         self.index = index
         self.source = source
--- a/apricotpin/components/relay/service.py
+++ b/apricotpin/components/relay/service.py
@@ -166,9 +166,14 @@
         holding, index = message.holding, message.index
         reply.ok()
         if message.content.is_err():
-            self._sources.suspect(message.source, message.content.err_value)
+            self._sources.note_failed(
+                message.source,
+                message.waited,
+                message.content.err_value,
+            )
             self._want(holding, index)
             return
+        self._sources.note_gave(message.source)
         content = message.content.ok_value
         if not _is_sound(holding, index, content):
             self._take_bad(message)
--- a/apricotpin/components/relay/sources.py
+++ b/apricotpin/components/relay/sources.py
@@ -8,7 +8,7 @@
 from apricotpin.components.relay.events import Fetch
 from apricotpin.components.relay.holders import Holders
 from apricotpin.components.relay.state import Demand, Holding
-from apricotpin.errors import Failure
+from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.stripes import STRIPES, source_key, stripe_of
 from apricotpin.messages.desired import DesiredState, ModelVersion
 from apricotpin.messages.feeds import EntryHost
@@ -19,6 +19,7 @@
     """Hold who may be asked for weights, and who failed lately."""
 
     __slots__ = (
+        'waiting',
         '_holders',
         '_hosts',
         '_led',
@@ -37,6 +38,8 @@
         self._origin_place = ''
         self._holders = Holders(own.data_centre)
         self._suspects: dict[str, float] = {}
+        # Since when each source has given nothing.
+        self.waiting: dict[str, float] = {}
 
     def change_state(self, state: DesiredState) -> None:
         """Learn where the origin is, and which service runs which model."""
@@ -97,9 +100,22 @@
             wait_ms = const.FETCH_WAIT_MS
         return Fetch(index, source, self._origin, wait_ms)
 
+    def note_failed(self, source: str, waited: bool, failure: Failure) -> None:
+        """Suspect a source, unless it only waits for the origin itself."""
+        now_s = time.monotonic()
+        waits = waited and failure.kind is ErrorKind.CHUNK_NOT_YET
+        since_s = self.waiting.setdefault(source, now_s)
+        if not waits or now_s - since_s > const.SOURCE_STALL_S:
+            self.suspect(source, failure)
+
+    def note_gave(self, source: str) -> None:
+        """Note that a source gave a piece."""
+        self.waiting.pop(source, None)
+
     def suspect(self, source: str, failure: Failure) -> None:
         """Ask others first for some time."""
         now_s = time.monotonic()
+        self.waiting.pop(source, None)
         known = self._suspects.get(source, 0) > now_s
         self._suspects[source] = now_s + const.SUSPECT_S
         if known:
--- a/apricotpin/components/relay/workers.py
+++ b/apricotpin/components/relay/workers.py
@@ -31,7 +31,13 @@
             content = _from_peer(client, holding, fetch)
         kernel.send(
             SERVICE_WEIGHTS,
-            Fetched(holding, fetch.index, source, content),
+            Fetched(
+                holding,
+                fetch.index,
+                source,
+                content,
+                waited=fetch.wait_ms > 0,
+            ),
         )
         if content.is_err():
             gevent.sleep(const.RETRY_S)
--- a/apricotpin/helpers/stripes.py
+++ b/apricotpin/helpers/stripes.py
@@ -3,8 +3,9 @@
 from typing import Final
 
 # Eight agents with links of 3.8 Mbit/s ask for more than an entry host with a
-# link of 20 Mbit/s can send beside requests, so several share the work.
-STRIPES: Final = 16
+# link of 20 Mbit/s can send beside requests, so several share the work. Each
+# that hands out a stripe also fetches it, and the origin serves few at once.
+STRIPES: Final = 6
 
 
 def stripe_of(index: int) -> int:
--- a/tests/components/relay/sources.feature
+++ b/tests/components/relay/sources.feature
@@ -29,6 +29,20 @@
       | 3     | 44   |
       | 12    | 24   |
 
+  Scenario Outline: a host that <fails> is asked for the next piece <order>
+    # A host that waits for the origin itself is no worse than the others.
+    Given relay with 3 hosts in each of 1 data centres
+    And relay knows the sources of a host that does not lead
+    When relay's first source <fails>
+    Then relay asks that source <order>
+
+    Examples:
+      | fails                          | order |
+      | refuses the connection         | later |
+      | has no piece, asked to wait    | first |
+      | has no piece, not asked to wait | later |
+      | has had no piece for 2 s       | later |
+
   Scenario: the failure of the first host moves the fetch to one other
     Given relay with 3 hosts in each of 3 data centres
     When relay loses the host that fetches from the origin
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -11,6 +11,8 @@
 from apricotpin.components.relay import decisions, events
 from apricotpin.components.relay.holders import Holders
 from apricotpin.components.relay.service import RelayService
+from apricotpin.components.relay.sources import Sources
+from apricotpin.components.relay.state import Demand, Holding
 from apricotpin.core import Kernel, Reply
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.stripes import source_key, stripe_of
@@ -64,6 +66,34 @@
         assert max(counts.values()) <= most, counts
 
 
+@given('relay knows the sources of a host that does not lead')
+def knows_sources(context):
+    own = decisions.chain_of(context.hosts, '', _KEY)[-1]
+    context.known = Sources(own)
+    context.known.change_hosts(context.hosts)
+    context.held = Holding('m', 2)
+    context.held.demands[0] = Demand.ALL
+    context.first = context.known.next_fetch(context.held, 0).source
+
+
+@when("relay's first source {fails}")
+def first_fails(context, fails):
+    refused = fails == 'refuses the connection'
+    kind = ErrorKind.PEER_UNAVAILABLE if refused else ErrorKind.CHUNK_NOT_YET
+    waited = not fails.endswith('not asked to wait')
+    context.known.note_failed(context.first, waited, Failure(kind, ''))
+    if fails.endswith('for 2 s'):
+        since_s = time.monotonic() - 2
+        context.known.waiting[context.first] = since_s
+        context.known.note_failed(context.first, waited, Failure(kind, ''))
+
+
+@then('relay asks that source {order}')
+def asks_source(context, order):
+    found = context.known.next_fetch(context.held, 0).source
+    assert (found == context.first) == (order == 'first'), found
+
+
 @when('relay loses the host that fetches from the origin')
 def lose_first(context):
     compute(context)
