--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -130,10 +130,10 @@
         connection,
         job.head.method,
         decisions.silent_s(job.progress, now_s),
-        decisions.begin_by_s(job.progress, attempt.begin_by_s),
+        decisions.begin_by_s(job.progress, attempt.begin_within_s(), now_s),
         reused,
     )
-    if attempt.begin_by_s is not None and now_s >= attempt.begin_by_s:
+    if attempt.begin_within_s() <= 0:
         return Verdict.OVERDUE
     if job.before_send is not None:
         job.before_send()
@@ -147,8 +147,9 @@
 
 
 def _is_overdue(job: Job, attempt: Attempt) -> bool:
-    begin_by_s = decisions.begin_by_s(job.progress, attempt.begin_by_s)
     now_s = time.monotonic()
+    within_s = attempt.begin_within_s()
+    begin_by_s = decisions.begin_by_s(job.progress, within_s, now_s)
     return begin_by_s <= now_s < job.progress.deadline_s
 
 
--- a/apricotpin/components/gateway/decisions.py
+++ b/apricotpin/components/gateway/decisions.py
@@ -191,14 +191,14 @@
     return left_s * const.IDEMPOTENT_SILENT_SHARE
 
 
-def begin_by_s(progress: Progress, allowed_s: float | None) -> float:
+def begin_by_s(progress: Progress, within_s: float, now_s: float) -> float:
     """Return until when an attempt waits for a stream's first event.
 
     The begin of any other answer is not seen, so it may take its whole time.
     """
-    if allowed_s is None or progress.route.kind is not RouteKind.STREAM:
+    if progress.route.kind is not RouteKind.STREAM:
         return progress.deadline_s
-    return min(progress.deadline_s, allowed_s)
+    return min(progress.deadline_s, now_s + within_s)
 
 
 def may_repeat_later(progress: Progress) -> bool:
--- a/apricotpin/components/gateway/state.py
+++ b/apricotpin/components/gateway/state.py
@@ -1,12 +1,12 @@
 """One request on its way through upstreams, and one attempt at it."""
 
-import time
 from collections.abc import Callable
 from typing import Any
 
 from apricotpin.components.gateway import decisions
 from apricotpin.components.gateway.events import EventSplitter
 from apricotpin.core import Kernel
+from apricotpin.helpers import clocks
 from apricotpin.helpers.exchange import Exchange, Verdict
 from apricotpin.messages.calls import (
     AnswerHead,
@@ -55,8 +55,8 @@
     """Own one attempt; first_part is the body, or a stream's first events.
 
     waited_s is the time from sending the request to that part. What has not
-    begun by begin_by_s of the monotonic clock must not run, None where any
-    time will do.
+    begun by begin_by_s, by the clock that counts suspensions, must not run;
+    None where any time will do.
     """
 
     __slots__ = (
@@ -75,7 +75,7 @@
         self.picked = picked
         self.begin_by_s: float | None = None
         if picked.begin_within_s is not None:
-            self.begin_by_s = time.monotonic() + picked.begin_within_s
+            self.begin_by_s = clocks.now_s() + picked.begin_within_s
         self.verdict = Verdict.CONNECT_FAILED
         self.exchange: Exchange | None = None
         self.head: AnswerHead | None = None
@@ -84,6 +84,12 @@
         self.waited_s: float | None = None
         self.splitter: EventSplitter | None = None
 
+    def begin_within_s(self) -> float:
+        """Return how long the attempt may take to begin, or any time."""
+        if self.begin_by_s is None:
+            return float('inf')
+        return self.begin_by_s - clocks.now_s()
+
     @property
     def sent(self) -> bool:
         """Tell whether a byte of the request was sent."""
--- a/tests/components/gateway/leaving.feature
+++ b/tests/components/gateway/leaving.feature
@@ -31,6 +31,18 @@
       | in 0.05 s   | 0     | sent     | sends         |
       | at any time | 0.2   | sent     | sends         |
 
+  Scenario Outline: a host suspended for <suspended> s while a connection opens <sends> what must begin in 3 s
+    # The monotonic clock stands still meanwhile, the bound does not.
+    Given gateway serves a request that is resumable while dispatch looks for a worker
+    And gateway's host is suspended for <suspended> s while a connection opens
+    When gateway's worker has to begin in 3 s and is silent
+    Then gateway <sends> the request to the worker
+
+    Examples:
+      | suspended | sends         |
+      | 0         | sends         |
+      | 5         | does not send |
+
   Scenario Outline: a request that is <kind> must begin <by>
     Given gateway serves a request that is <kind> while dispatch looks for a worker
     When gateway's worker has to begin <by> and is silent
--- a/tests/steps/gateway_leaving_steps.py
+++ b/tests/steps/gateway_leaving_steps.py
@@ -16,6 +16,7 @@
     SERVICE_ROUTES,
 )
 from apricotpin.core import Kernel
+from apricotpin.helpers import clocks
 from apricotpin.messages.calls import ResolveCall, Resolved
 from apricotpin.messages.metrics import Observe
 from apricotpin.messages.upstreams import (
@@ -133,6 +134,21 @@
     context.cleanups.append(lambda: setattr(attempts, 'connect', original))
 
 
+@given(
+    "gateway's host is suspended for {suspended:g} s while a connection opens"
+)
+def suspended_while(context, suspended):
+    original, now_s = attempts.connect, clocks.now_s
+
+    def connect(address, deadline_s):
+        clocks.now_s = lambda: now_s() + suspended
+        return original(address, deadline_s)
+
+    attempts.connect = connect
+    context.cleanups.append(lambda: setattr(attempts, 'connect', original))
+    context.cleanups.append(lambda: setattr(clocks, 'now_s', now_s))
+
+
 @when("gateway's caller leaves {moment}")
 def leaves(context, moment):
     if moment == 'before it is sent':
@@ -145,7 +161,7 @@
 
 @when("gateway's worker has to begin {by} and is silent")
 def has_to_begin(context, by):
-    begin_within_s = None if by == 'at any time' else 0.05
+    begin_within_s = None if by == 'at any time' else float(by.split()[1])
     context.world.give_worker(begin_within_s)
     sleep(_OPENED_S)
 
