Send a report to a few entry hosts in turn, and encode a greeting once

A report goes to six hosts of the data centre and four others at most now, in turn, and a message to several hosts is encoded once. With six hosts or fewer near nothing changes. What dispatch expects of other hosts is computed once for a choice. Not measured yet.

Test: receivers of a report in three sizes.

--- a/apricotpin/components/dispatch/decisions.py
+++ b/apricotpin/components/dispatch/decisions.py
@@ -38,6 +38,9 @@
         detail = why_none(state, service, now_s)
         return Err(Failure(ErrorKind.NO_UPSTREAM, detail))
     is_model = engine is not None
+    others_per_s = sent_by_others(state, service, serving, now_s)
+    behind = [one for one in serving if versions.is_behind(state, one, now_s)]
+    old_per_s = sent_by_others(state, service, behind, now_s)
     free = [
         upstream
         for upstream in serving
@@ -46,9 +49,9 @@
             is_model,
             now_s,
             urgent,
-            unseen_load(state, upstream, serving, now_s),
+            unseen_load(state, upstream, others_per_s, now_s),
         )
-        and may_begin(state, upstream, serving, now_s)
+        and may_begin(state, upstream, old_per_s, now_s)
     ]
     if not free:
         detail = f'{len(serving)} workers of {service} are full'
@@ -126,7 +129,7 @@
 def may_begin(
     state: DispatchState,
     upstream: Upstream,
-    serving: list[Upstream],
+    others_per_s: float,
     now_s: float,
 ) -> bool:
     """Tell whether a request sent now begins before its version's bound.
@@ -142,31 +145,38 @@
         return False
     if not versions.is_fresh(upstream, now_s):
         return False
-    alike = [one for one in serving if versions.is_behind(state, one, now_s)]
-    unseen = unseen_load(state, upstream, alike, now_s)
+    unseen = unseen_load(state, upstream, others_per_s, now_s)
     return load_of(upstream, now_s) + unseen < upstream.entry.slots
 
 
-def unseen_load(
+def sent_by_others(
     state: DispatchState,
-    upstream: Upstream,
+    service: str,
     serving: list[Upstream],
     now_s: float,
 ) -> float:
-    """Estimate what other hosts sent to an upstream since its last report.
+    """Estimate what other hosts send to each worker of the data centre.
 
     The hosts of a data centre choose alike among its workers, so a few of
     these are chosen by all hosts at once before a report shows it.
     """
-    near = [
-        one for one in serving if one.entry.data_centre == state.data_centre
-    ]
-    if upstream not in near or not versions.is_fresh(upstream, now_s):
-        return 0
-    window = state.window(upstream.entry.service)
-    rate_per_s = budget.recently_sent(window, now_s) / const.RATE_WINDOW_S
+    near = sum(one.entry.data_centre == state.data_centre for one in serving)
+    sent = budget.recently_sent(state.window(service), now_s)
     others = max(0, state.near_hosts - 1)
-    return rate_per_s * others * (now_s - upstream.reported_s) / len(near)
+    return sent / const.RATE_WINDOW_S * others / max(1, near)
+
+
+def unseen_load(
+    state: DispatchState,
+    upstream: Upstream,
+    others_per_s: float,
+    now_s: float,
+) -> float:
+    """Estimate what other hosts sent to an upstream since its last report."""
+    is_near = upstream.entry.data_centre == state.data_centre
+    if not is_near or not versions.is_fresh(upstream, now_s):
+        return 0
+    return others_per_s * (now_s - upstream.reported_s)
 
 
 def cost_of(
--- a/apricotpin/components/presence/agent.py
+++ b/apricotpin/components/presence/agent.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from apricotpin.components.presence import const, decisions
-from apricotpin.components.presence.endpoint import Received, send
+from apricotpin.components.presence.endpoint import Received, send_all
 from apricotpin.core import Kernel, Reply
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages import fleet
@@ -54,19 +54,19 @@
         )
         for host_id in gone:
             logger.bind(entry_host=host_id).info('entry_host_silent')
-        far = self._count % const.FAR_REPORT_EVERY == 0
-        for seen in self._entries.values():
-            hello = seen.message
-            near = hello.data_centre == self._settings.data_centre
-            if near or far:
-                send(self._socket, hello.peer_address, report)
+        hellos = [seen.message for seen in self._entries.values()]
+        due = decisions.receivers(
+            hellos, self._settings.data_centre, self._count
+        )
+        addresses = [hello.peer_address for hello in due]
+        send_all(self._socket, addresses, report)
         reply.ok()
 
     def find_entries(self, message: fleet.FindEntries, reply: Reply) -> None:
         """Send a report to recorded entry hosts, so that they greet."""
         if not self._entries:
-            for host in message.hosts:
-                send(self._socket, host.peer_address, message.report)
+            addresses = [host.peer_address for host in message.hosts]
+            send_all(self._socket, addresses, message.report)
         reply.ok()
 
     def count_entries(
--- a/apricotpin/components/presence/const.py
+++ b/apricotpin/components/presence/const.py
@@ -9,8 +9,13 @@
 # Several greetings are lost before a host is taken as gone.
 ENTRY_SILENT_S: Final = 2.5
 AGENT_SILENT_S: Final = 2.5
-# Of the reports, one in this many goes to another data centre.
+# Of the reports, one in this many goes to a host of another data centre.
 FAR_REPORT_EVERY: Final = 4
+# A report goes to so many hosts at most, in turn, so that the work of agents
+# and hosts does not grow with the product of their numbers. A host of 13 then
+# gets two in 0.45 s, and one in another data centre of 25 hosts two in 1.3 s.
+NEAR_RECEIVERS: Final = 6
+FAR_RECEIVERS: Final = 4
 STORE_TIMEOUT_S: Final = 3.0
 # A record of this host is written again until it succeeds.
 RECORD_RETRY_S: Final = 0.5
--- a/apricotpin/components/presence/decisions.py
+++ b/apricotpin/components/presence/decisions.py
@@ -44,6 +44,33 @@
     return report.count > last or report.count < last / 2
 
 
+def receivers(
+    hellos: list[EntryHello],
+    data_centre: str,
+    count: int,
+) -> list[EntryHello]:
+    """Return the entry hosts that are sent the report with this count."""
+    ordered = sorted(hellos, key=lambda hello: hello.host_id)
+    near = [one for one in ordered if one.data_centre == data_centre]
+    far = [one for one in ordered if one.data_centre != data_centre]
+    far_share = -(-len(far) // const.FAR_REPORT_EVERY)
+    return [
+        *_in_turn(near, const.NEAR_RECEIVERS, count),
+        *_in_turn(far, min(far_share, const.FAR_RECEIVERS), count),
+    ]
+
+
+def _in_turn(
+    hellos: list[EntryHello],
+    most: int,
+    count: int,
+) -> list[EntryHello]:
+    if len(hellos) <= most:
+        return hellos
+    first = count * most % len(hellos)
+    return (hellos[first:] + hellos[:first])[:most]
+
+
 def resumable_services(state: DesiredState) -> set[str]:
     """Return the services of which every request may go on elsewhere."""
     all_services = {
--- a/apricotpin/components/presence/endpoint.py
+++ b/apricotpin/components/presence/endpoint.py
@@ -1,5 +1,6 @@
 """Datagrams on the socket of this process."""
 
+from collections.abc import Iterable
 from typing import Any
 
 from gevent import socket
@@ -23,13 +24,21 @@
 
 def send(endpoint: socket.socket, address: str, message: Any) -> None:
     """Send a datagram; one that cannot be sent is lost like any other."""
-    try:
-        endpoint.sendto(
-            encode_datagram(message),
-            Address.from_text(address).as_tuple(),
-        )
-    except (OSError, ValueError) as error:
-        logger.bind(address=address, error=repr(error)).debug('send_failed')
+    send_all(endpoint, (address,), message)
+
+
+def send_all(
+    endpoint: socket.socket,
+    addresses: Iterable[str],
+    message: Any,
+) -> None:
+    """Send one message, encoded once, to several addresses."""
+    datagram = encode_datagram(message)
+    for address in addresses:
+        try:
+            endpoint.sendto(datagram, Address.from_text(address).as_tuple())
+        except (OSError, ValueError) as error:
+            logger.bind(address=address, error=repr(error)).debug('send_failed')
 
 
 def receive_forever(kernel: Kernel, endpoint: socket.socket) -> None:
--- a/apricotpin/components/presence/entry.py
+++ b/apricotpin/components/presence/entry.py
@@ -6,7 +6,11 @@
 from loguru import logger
 
 from apricotpin.components.presence import const, decisions
-from apricotpin.components.presence.endpoint import Received, send
+from apricotpin.components.presence.endpoint import (
+    Received,
+    send,
+    send_all,
+)
 from apricotpin.components.presence.versions import (
     UNDECLARED_VERSION,
     DeclaredVersions,
@@ -248,7 +252,7 @@
         model = self._models.get(report.service_name, '')
         return report.installing or self._versions.newest(model)
 
-    def _greet_entry(self, address: str) -> None:
+    def _greet_entry(self, *addresses: str) -> None:
         hello = fleet.EntryHello(
             self._own.host_id,
             self._own.peer_address,
@@ -257,15 +261,14 @@
             config_version=self._config_version,
             earlier=self._versions.earlier(self._models),
         )
-        send(self._socket, address, hello)
+        send_all(self._socket, addresses, hello)
 
     def _greet_entries(self) -> None:
         addresses = {host.peer_address for host in self._recorded.values()}
         addresses.update(
             seen.message.peer_address for seen in self._entries.values()
         )
-        for address in addresses:
-            self._greet_entry(address)
+        self._greet_entry(*addresses)
 
 
 def own_host(settings: HostSettings) -> EntryHost:
--- a/tests/components/presence/groups.feature
+++ b/tests/components/presence/groups.feature
@@ -71,3 +71,15 @@
       | suspended | told |
       | 0         | 1    |
       | 4         | 5    |
+
+  Scenario Outline: of <near> hosts near and <far> elsewhere, <sent> are sent a report, all within <reports>
+    # Work that every agent does for every host grows with their product.
+    When presence sends reports to <near> hosts near and <far> elsewhere
+    Then presence sent each report to <sent> hosts at most
+    And presence reached every host within <reports> reports
+
+    Examples:
+      | near | far | sent | reports |
+      | 1    | 0   | 1    | 1       |
+      | 3    | 4   | 4    | 4       |
+      | 13   | 25  | 10   | 7       |
--- a/tests/steps/presence_steps.py
+++ b/tests/steps/presence_steps.py
@@ -11,6 +11,7 @@
 from tests.steps.dispatch_steps import make_report
 from tests.steps.routes_steps import make_route, make_state
 
+_REPORTS = 60
 _ROUTES = {
     'resumable': {'kind': RouteKind.STREAM, 'resumable': True},
     'idempotent': {},
@@ -116,3 +117,32 @@
 def tells_known(context, told):
     found = [(one.version, one.known_for_ms // 1000) for one in context.told]
     assert found == [(3, told), (2, told + 5)], found
+
+
+@when('presence sends reports to {near:d} hosts near and {far:d} elsewhere')
+def send_reports(context, near, far):
+    places = ['a'] * near + ['b'] * far
+    context.hellos = [
+        EntryHello(f'e{number}', f'e{number}:1', place, [])
+        for number, place in enumerate(places)
+    ]
+
+
+@then('presence sent each report to {sent:d} hosts at most')
+def sent_at_most(context, sent):
+    counts = [
+        len(decisions.receivers(context.hellos, 'a', count))
+        for count in range(_REPORTS)
+    ]
+    assert max(counts) == sent, counts
+
+
+@then('presence reached every host within {reports:d} reports')
+def reached_all(context, reports):
+    for first in range(_REPORTS):
+        reached = {
+            hello.host_id
+            for count in range(first, first + reports)
+            for hello in decisions.receivers(context.hellos, 'a', count)
+        }
+        assert len(reached) == len(context.hellos), reached
