--- a/apricotpin/components/follower/__init__.py
+++ b/apricotpin/components/follower/__init__.py
@@ -8,7 +8,7 @@
     FeedRead,
     GetPeers,
     GetRecords,
-    HearAgain,
+    ConfigHeardAgain,
     ReadsItself,
 )
 from apricotpin.components.follower.peers import PeerReads
@@ -50,7 +50,7 @@
             DesiredStateChanged: peers.change_state,
             TargetHeard: service.hear_target,
             ConfigHeard: peers.hear_config,
-            HearAgain: peers.hear_again,
+            ConfigHeardAgain: peers.hear_again,
             ReadsItself: peers.reads_itself,
             EntryHostsChanged: peers.change_hosts,
             GetPeers: peers.peers,
--- a/apricotpin/components/follower/const.py
+++ b/apricotpin/components/follower/const.py
@@ -25,15 +25,17 @@
 # others take them from these. In a series of changes, 13 hosts that all read
 # a desired state of 250 routes fill the link between two regions.
 READERS: Final = 3
-# A host that does not read looks this often whether it has to.
-OFF_DUTY_S: Final = 0.5
-# Pause between two fetches of a desired state from another entry host.
+# How often a host that does not read checks whether it has become one that
+# does: well within the 2 s in which a desired state has to be in force.
+NOT_READING_PAUSE_S: Final = 0.5
+# Pause between two fetches of a desired state from another entry host, so
+# that a series of changes is not fetched one by one.
 FETCH_PAUSE_S: Final = 0.5
 # A host that reads itself takes a desired state from another one only when
 # it has known of it for this long.
-BEHIND_S: Final = 0.5
+PEER_AFTER_S: Final = 0.5
 # A host that others did not bring up to date reads the store itself.
-STRANDED_S: Final = 1.5
+READ_AFTER_S: Final = 1.5
 # After the store turned this host away, peers are asked first for this time.
 DIRECT_RETRY_S: Final = 1.5
 PEERS_ASKED: Final = 2
--- a/apricotpin/components/follower/events.py
+++ b/apricotpin/components/follower/events.py
@@ -35,7 +35,7 @@
     __slots__ = ()
 
 
-class HearAgain:
+class ConfigHeardAgain:
     """Carry a greeting that was not followed at once."""
 
     __slots__ = ('heard',)
--- a/apricotpin/components/follower/peers.py
+++ b/apricotpin/components/follower/peers.py
@@ -5,12 +5,12 @@
 import gevent
 from loguru import logger
 
-from apricotpin.components.follower import decisions, duty, reading
+from apricotpin.components.follower import decisions, readers, reading
 from apricotpin.components.follower.events import (
     FeedRead,
     GetPeers,
     GetRecords,
-    HearAgain,
+    ConfigHeardAgain,
     ReadsItself,
 )
 from apricotpin.const import SERVICE_CONFIGURATION
@@ -23,18 +23,18 @@
 class PeerReads:
     """Own what was read last and which entry hosts may be asked."""
 
-    __slots__ = ('_duty', '_kernel', '_memory', '_postponed')
+    __slots__ = ('_read_state', '_kernel', '_memory', '_postponed')
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._memory = decisions.Memory()
-        self._duty = duty.Duty()
+        self._read_state = readers.ReadState()
         self._postponed = False
 
     def remember(self, message: FeedRead) -> None:
         """Keep what a read brought."""
         if message.feed is Feed.OPERATOR:
-            self._duty.failing = message.page.is_err()
+            self._read_state.failing = message.page.is_err()
         if message.page.is_ok():
             decisions.remember(
                 self._memory,
@@ -45,12 +45,12 @@
 
     def change_state(self, message: DesiredStateChanged, reply: Reply) -> None:
         """Note which desired state this host has."""
-        duty.note_known(self._duty, message.state.version)
+        readers.note_known(self._read_state, message.state.version)
         reply.ok()
 
     def reads_itself(self, _message: ReadsItself, reply: Reply) -> None:
         """Answer whether this host reads the operator's records itself."""
-        reply.ok(duty.reads_itself(self._duty, time.monotonic()))
+        reply.ok(readers.reads_itself(self._read_state, time.monotonic()))
 
     def records(self, message: GetRecords, reply: Reply) -> None:
         """Answer with the records of a feed as they were read last."""
@@ -61,35 +61,37 @@
         reply.ok()
         now_s = time.monotonic()
         address = message.peer_address
-        duty.note_heard(self._duty, message.version, now_s)
-        behind = message.version > self._duty.known
-        if not behind or not duty.is_wanted_from(self._duty, address, now_s):
+        readers.note_heard(self._read_state, message.version, now_s)
+        behind = message.version > self._read_state.known
+        if not behind or not readers.is_wanted_from(
+            self._read_state, address, now_s
+        ):
             return
-        pause_s = duty.pause_left_s(self._duty, now_s)
+        pause_s = readers.pause_left_s(self._read_state, now_s)
         if pause_s:
             self._postpone(message, pause_s)
             return
-        self._duty.asked_s = now_s
+        self._read_state.asked_s = now_s
         logger.bind(
             version=message.version,
             entry_host=address,
-            known=self._duty.known,
+            known=self._read_state.known,
         ).info('desired_state_heard')
         self._kernel.spawn(reading.fetch_from_peer, self._kernel, address)
 
-    def hear_again(self, message: HearAgain, reply: Reply) -> None:
+    def hear_again(self, message: ConfigHeardAgain, reply: Reply) -> None:
         """Come back to a host that had a newer desired state."""
         self._postponed = False
         self.hear_config(message.heard, reply)
 
     def change_hosts(self, message: EntryHostsChanged, reply: Reply) -> None:
         """Learn which entry hosts are there; this one is the first."""
-        self._duty.hosts = message.hosts
+        self._read_state.hosts = message.hosts
         reply.ok()
 
     def peers(self, _message: GetPeers, reply: Reply) -> None:
         """Answer with the addresses of other entry hosts."""
-        others = self._duty.hosts[1:]
+        others = self._read_state.hosts[1:]
         reply.ok(tuple(host.peer_address for host in others))
 
     def read_feed(self, message: ReadFeed, reply: Reply) -> None:
@@ -104,5 +106,5 @@
             pause_s,
             self._kernel.send,
             SERVICE_CONFIGURATION,
-            HearAgain(message),
+            ConfigHeardAgain(message),
         )
--- a/apricotpin/components/follower/duty.py
+++ b/apricotpin/components/follower/readers.py
@@ -4,10 +4,10 @@
 from apricotpin.helpers.hashing import rendezvous_order
 from apricotpin.messages.feeds import EntryHost
 
-_DUTY_KEY = 'operator'
+_READERS_KEY = 'operator'
 
 
-class Duty:
+class ReadState:
     """Hold who is there and how far this host is behind; times are monotonic.
 
     hosts holds this host first. lacking holds when each version of the
@@ -26,71 +26,71 @@
         self.failing = False
 
 
-def is_reader(duty: Duty) -> bool:
+def is_reader(state: ReadState) -> bool:
     """Tell whether this host is one of those that read for its data centre."""
-    own = duty.hosts[0] if duty.hosts else None
-    return own is None or own.host_id in _readers(duty)
+    own = state.hosts[0] if state.hosts else None
+    return own is None or own.host_id in _readers(state)
 
 
-def reads_itself(duty: Duty, now_s: float) -> bool:
+def reads_itself(state: ReadState, now_s: float) -> bool:
     """Tell whether this host reads the store now."""
-    if not duty.known or is_reader(duty):
+    if not state.known or is_reader(state):
         return True
-    return lacking_for_s(duty, now_s) >= const.STRANDED_S
+    return lacking_for_s(state, now_s) >= const.READ_AFTER_S
 
 
-def note_known(duty: Duty, version: int) -> None:
+def note_known(state: ReadState, version: int) -> None:
     """Note the desired state that this host has."""
-    duty.known = version
-    duty.lacking = {
+    state.known = version
+    state.lacking = {
         heard: since_s
-        for heard, since_s in duty.lacking.items()
+        for heard, since_s in state.lacking.items()
         if heard > version
     }
 
 
-def note_heard(duty: Duty, version: int, now_s: float) -> None:
+def note_heard(state: ReadState, version: int, now_s: float) -> None:
     """Note the desired state that another host has."""
-    if version > duty.known:
-        duty.lacking.setdefault(version, now_s)
+    if version > state.known:
+        state.lacking.setdefault(version, now_s)
 
 
-def lacking_for_s(duty: Duty, now_s: float) -> float:
+def lacking_for_s(state: ReadState, now_s: float) -> float:
     """Return for how long this host has lacked what another one has."""
-    return now_s - min(duty.lacking.values(), default=now_s)
+    return now_s - min(state.lacking.values(), default=now_s)
 
 
-def is_wanted_from(duty: Duty, address: str, now_s: float) -> bool:
+def is_wanted_from(state: ReadState, address: str, now_s: float) -> bool:
     """Tell whether to take a newer desired state from a host.
 
     All hosts hear of a change at once, and most are about to read it: if each
     took it from another one as well, the copies would fill their links.
     """
-    if not duty.lacking:
+    if not state.lacking:
         return False
-    if duty.failing or lacking_for_s(duty, now_s) >= const.BEHIND_S:
+    if state.failing or lacking_for_s(state, now_s) >= const.PEER_AFTER_S:
         return True
-    if is_reader(duty):
+    if is_reader(state):
         return False
     # Hosts that do not read are shared out over those that do.
-    readers = _readers(duty)
-    chosen = rendezvous_order(duty.hosts[0].host_id, readers)[0]
+    readers = _readers(state)
+    chosen = rendezvous_order(state.hosts[0].host_id, readers)[0]
     return any(
         host.peer_address == address and host.host_id == chosen
-        for host in duty.hosts
+        for host in state.hosts
     )
 
 
-def pause_left_s(duty: Duty, now_s: float) -> float:
+def pause_left_s(state: ReadState, now_s: float) -> float:
     """Return how long this host waits before it fetches again."""
-    return max(0, duty.asked_s + const.FETCH_PAUSE_S - now_s)
+    return max(0, state.asked_s + const.FETCH_PAUSE_S - now_s)
 
 
-def _readers(duty: Duty) -> list[str]:
-    own = duty.hosts[0]
+def _readers(state: ReadState) -> list[str]:
+    own = state.hosts[0]
     near = [
         host.host_id
-        for host in duty.hosts
+        for host in state.hosts
         if host.data_centre == own.data_centre
     ]
-    return rendezvous_order(_DUTY_KEY, near)[: const.READERS]
+    return rendezvous_order(_READERS_KEY, near)[: const.READERS]
--- a/apricotpin/components/follower/reading.py
+++ b/apricotpin/components/follower/reading.py
@@ -57,7 +57,7 @@
         if feed is Feed.OPERATOR and not _reads_itself(kernel):
             # What came meanwhile is read as a whole, not change by change.
             reader.offset = -1
-            gevent.sleep(const.OFF_DUTY_S)
+            gevent.sleep(const.NOT_READING_PAUSE_S)
             continue
         whole = reader.offset < 0
         page = reader.read()
--- a/apricotpin/components/gateway/application.py
+++ b/apricotpin/components/gateway/application.py
@@ -14,7 +14,7 @@
     attempts,
     decisions,
     serving,
-    stories,
+    log_lines,
 )
 from apricotpin.components.gateway.callers import (
     ENVIRON_CALL,
@@ -70,7 +70,7 @@
         self._outcome = {
             'outcome': 'broken_off',
             'status': attempt.head.status,
-            **stories.story_of(attempt),
+            **log_lines.attempt_fields(attempt),
         }
         self._kernel.send(
             SERVICE_METRICS,
--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from apricotpin.components.gateway import const, decisions, stories
+from apricotpin.components.gateway import const, decisions, log_lines
 from apricotpin.components.gateway.events import EventSplitter
 from apricotpin.components.gateway.state import Attempt, Job
 from apricotpin.const import SERVICE_DISPATCH, SERVICE_METRICS
@@ -45,7 +45,7 @@
         job.kernel.send(SERVICE_DISPATCH, CancelPick(ticket))
         raise
     if picked.is_ok():
-        stories.log_pick(job, picked.ok_value, now_s)
+        log_lines.log_pick(job, picked.ok_value, now_s)
     elif picked.err_value.kind is ErrorKind.TIMEOUT:
         job.kernel.send(SERVICE_DISPATCH, CancelPick(ticket))
     return picked
@@ -108,7 +108,7 @@
         ),
     )
     if verdict is not Verdict.ANSWERED:
-        stories.log_failure(job, attempt, verdict)
+        log_lines.log_failure(job, attempt, verdict)
 
 
 def abandon(job: Job) -> None:
--- a/apricotpin/components/gateway/stories.py
+++ b/apricotpin/components/gateway/log_lines.py
@@ -41,11 +41,11 @@
         sent=attempt.sent,
         status=0 if attempt.head is None else attempt.head.status,
         left_ms=_left_ms(job),
-        **story_of(attempt),
+        **attempt_fields(attempt),
     ).info('attempt_failed')
 
 
-def story_of(attempt: Attempt) -> dict[str, int]:
+def attempt_fields(attempt: Attempt) -> dict[str, int]:
     """Return how long a worker took to begin, and the version it named.
 
     -1 stands for a worker that gave nothing.
--- a/apricotpin/components/gateway/serving.py
+++ b/apricotpin/components/gateway/serving.py
@@ -12,7 +12,7 @@
     attempts,
     const,
     decisions,
-    stories,
+    log_lines,
 )
 from apricotpin.components.gateway.state import Attempt, Job
 from apricotpin.const import SERVICE_DISPATCH, SERVICE_ROUTES
@@ -113,7 +113,7 @@
         id=job.head.request_id,
         instance=resumed.ok_value.picked.instance_id,
         after_event=job.progress.last_event_id,
-        **stories.story_of(resumed.ok_value),
+        **log_lines.attempt_fields(resumed.ok_value),
     ).info('stream_resumed')
     return resumed.ok_value
 
--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -18,7 +18,7 @@
 # A piece of 32 KiB on an agent's link of 3.8 Mbit/s, taken until pieces of
 # the version were fetched.
 PIECE_S: Final = 0.07
-# A version of which a piece was not there yet is asked for again after this.
+# Pause before another request for a piece that an entry host lacked.
 NOT_YET_PAUSE_S: Final = 0.2
 FETCH_TIMEOUT_S: Final = 1.8
 RETRY_S: Final = 0.15
@@ -46,7 +46,8 @@
 # A version of which nothing came for this long gives way to an older one
 # that is whole: the origin may be away.
 STALL_S: Final = 1.0
-# Entry hosts send to a version until this long before its bound.
+# Entry hosts send to a version until this long before its bound; the same as
+# VERSION_MARGIN_S of dispatch.
 VERSION_RESERVE_S: Final = 0.8
 # Staging, checking and loading a whole version takes about this long.
 LOAD_S: Final = 0.7
--- a/tests/steps/follower_duty_steps.py
+++ b/tests/steps/follower_readers_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from apricotpin.components.follower import decisions, duty
+from apricotpin.components.follower import decisions, readers
 from apricotpin.messages.feeds import EntryHost, Feed, FeedEntry, FeedPage
 
 _NOW_S = 100.0
@@ -19,11 +19,11 @@
     ]
 
 
-def _duty_of(own, hosts):
+def _state_of(own, hosts):
     others = [host for host in hosts if host is not own]
-    found = duty.Duty()
+    found = readers.ReadState()
     found.hosts = (own, *others)
-    duty.note_known(found, _KNOWN)
+    readers.note_known(found, _KNOWN)
     return found
 
 
@@ -32,63 +32,61 @@
 )
 def on_every(context, count):
     hosts = _hosts(count)
-    context.duties = [_duty_of(own, hosts) for own in hosts]
+    context.states = [_state_of(own, hosts) for own in hosts]
 
 
-@then(
-    'follower reads the store itself on {readers:d} hosts of each data centre'
-)
-def read_on(context, readers):
+@then('follower reads the store itself on {count:d} hosts of each data centre')
+def read_on(context, count):
     for place in _PLACES:
         reading = [
             one.hosts[0].host_id
-            for one in context.duties
+            for one in context.states
             if one.hosts[0].data_centre == place
-            and duty.reads_itself(one, _NOW_S)
+            and readers.reads_itself(one, _NOW_S)
         ]
-        assert len(reading) == readers, reading
+        assert len(reading) == count, reading
 
 
 @given('follower runs on a host that knows nobody')
 def knows_nobody(context):
-    context.duty = duty.Duty()
+    context.read_state = readers.ReadState()
 
 
 @given('follower runs on a host that {role} and {state}')
 def runs_on(context, role, state):
     hosts = _hosts(_COUNT)
-    duties = [_duty_of(own, hosts) for own in hosts]
-    context.duty = next(
-        one for one in duties if duty.is_reader(one) == (role == 'reads')
+    states = [_state_of(own, hosts) for own in hosts]
+    context.read_state = next(
+        one for one in states if readers.is_reader(one) == (role == 'reads')
     )
-    context.duty.failing = state == 'was turned away'
+    context.read_state.failing = state == 'was turned away'
     if state == 'is up to date':
-        duty.note_known(context.duty, _KNOWN + 1)
+        readers.note_known(context.read_state, _KNOWN + 1)
 
 
 def _host_of(context, place):
-    own, *others = context.duty.hosts
+    own, *others = context.read_state.hosts
     near = [host for host in others if host.data_centre == own.data_centre]
     if place == 'elsewhere':
         return next(host for host in others if host not in near)
     takes = [
-        duty.is_wanted_from(context.duty, host.peer_address, _NOW_S)
+        readers.is_wanted_from(context.read_state, host.peer_address, _NOW_S)
         for host in near
     ]
     if place == 'another reader':
-        readers = [
+        reading = [
             host
             for host in near
-            if duty.is_reader(_duty_of(host, context.duty.hosts))
+            if readers.is_reader(_state_of(host, context.read_state.hosts))
         ]
         chosen = near[takes.index(True)]
-        return next(host for host in readers if host is not chosen)
+        return next(host for host in reading if host is not chosen)
     return near[takes.index(True) if True in takes else 0]
 
 
 @when('follower hears of a newer desired state from {place} after {behind:g} s')
 def hears_newer(context, place, behind):
-    duty.note_heard(context.duty, _KNOWN + 1, _NOW_S)
+    readers.note_heard(context.read_state, _KNOWN + 1, _NOW_S)
     context.address = _host_of(context, place).peer_address
     context.now_s = _NOW_S + behind
 
@@ -101,10 +99,12 @@
     address = _host_of_elsewhere(context)
     for now_s, step in sorted([*heard, *taken]):
         if (now_s, step) in taken:
-            context.fetched |= duty.is_wanted_from(context.duty, address, now_s)
-            duty.note_known(context.duty, _KNOWN + 1 + step)
+            context.fetched |= readers.is_wanted_from(
+                context.read_state, address, now_s
+            )
+            readers.note_known(context.read_state, _KNOWN + 1 + step)
         else:
-            duty.note_heard(context.duty, _KNOWN + 1 + step, now_s)
+            readers.note_heard(context.read_state, _KNOWN + 1 + step, now_s)
 
 
 def _host_of_elsewhere(context):
@@ -134,22 +134,24 @@
 
 @then('follower {fate} it from there')
 def fetches_it(context, fate):
-    wanted = duty.is_wanted_from(context.duty, context.address, context.now_s)
+    wanted = readers.is_wanted_from(
+        context.read_state, context.address, context.now_s
+    )
     assert wanted == (fate == 'fetches')
 
 
 @then('follower {reads} the store itself')
 def reads_store(context, reads):
     now_s = getattr(context, 'now_s', _NOW_S)
-    assert duty.reads_itself(context.duty, now_s) == (reads == 'reads')
+    assert readers.reads_itself(context.read_state, now_s) == (reads == 'reads')
 
 
 @when('follower fetched a desired state {pause:g} s ago')
 def fetched_before(context, pause):
-    context.duty.asked_s = _NOW_S - pause
+    context.read_state.asked_s = _NOW_S - pause
 
 
 @then('follower waits for {left:g} s before it fetches again')
 def waits_for(context, left):
-    found = duty.pause_left_s(context.duty, _NOW_S)
+    found = readers.pause_left_s(context.read_state, _NOW_S)
     assert round(found, 3) == left, found
