--- a/apricotpin/components/relay/const.py
+++ b/apricotpin/components/relay/const.py
@@ -15,8 +15,10 @@
 # soon as it has the piece.
 FETCH_TIMEOUT_S: Final = 2.5
 FETCH_WAIT_MS: Final = 2000
-# A source that failed is asked last for this time.
+# A source that failed is asked last for this time; the origin for less, since
+# a version that nobody holds yet comes from nowhere else.
 SUSPECT_S: Final = 2.0
+ORIGIN_SUSPECT_S: Final = 0.4
 # Pause after all sources failed.
 RETRY_S: Final = 0.2
 # Manifest index in a request for a piece.
--- a/apricotpin/components/relay/sources.py
+++ b/apricotpin/components/relay/sources.py
@@ -117,7 +117,10 @@
         now_s = time.monotonic()
         self.waiting.pop(source, None)
         known = self._suspects.get(source, 0) > now_s
-        self._suspects[source] = now_s + const.SUSPECT_S
+        rest_s = const.SUSPECT_S
+        if source == const.ORIGIN:
+            rest_s = const.ORIGIN_SUSPECT_S
+        self._suspects[source] = now_s + rest_s
         if known:
             return
         logger.bind(
--- a/tests/components/relay/sources.feature
+++ b/tests/components/relay/sources.feature
@@ -43,6 +43,21 @@
       | has no piece, not asked to wait | later |
       | has had no piece for 2 s       | later |
 
+  Scenario Outline: a host that <role> asks its first source <order> <after> s after that refused
+    # While the origin is away nobody has the version, so its return counts.
+    Given relay with 3 hosts in each of 1 data centres
+    And relay knows the sources of a host that <role>
+    When relay's first source refuses the connection
+    And <after> s pass for relay
+    Then relay asks that source <order>
+
+    Examples:
+      | role          | after | order |
+      | leads         | 0     | later |
+      | leads         | 0.5   | first |
+      | does not lead | 0.5   | later |
+      | does not lead | 2.1   | first |
+
   Scenario: the failure of the first host moves the fetch to one other
     Given relay with 3 hosts in each of 3 data centres
     When relay loses the host that fetches from the origin
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -66,9 +66,10 @@
         assert max(counts.values()) <= most, counts
 
 
-@given('relay knows the sources of a host that does not lead')
-def knows_sources(context):
-    own = decisions.chain_of(context.hosts, '', _KEY)[-1]
+@given('relay knows the sources of a host that {role}')
+def knows_sources(context, role):
+    chain = decisions.chain_of(context.hosts, '', _KEY)
+    own = chain[0] if role == 'leads' else chain[-1]
     context.known = Sources(own)
     context.known.change_hosts(context.hosts)
     context.held = Holding('m', 2)
@@ -88,6 +89,13 @@
         context.known.note_failed(context.first, waited, Failure(kind, ''))
 
 
+@when('{after:g} s pass for relay')
+def time_passes(context, after):
+    monotonic = time.monotonic
+    time.monotonic = lambda: monotonic() + after
+    context.cleanups = [lambda: setattr(time, 'monotonic', monotonic)]
+
+
 @then('relay asks that source {order}')
 def asks_source(context, order):
     found = context.known.next_fetch(context.held, 0).source
