Bound the time and memory of answers that do not end

Callers would see: one worker that sends a chunk extension, a chunk length of zeros or trailers without end held up every request of the entry host. Its own request ended only at its deadline, without a second worker.

Cause: each byte began the time of silence anew; recv yields only when nothing is ready, so a fast sender kept all other greenlets from running; trailers were kept as headers.

A silence now ends with a complete head or with bytes of the body, and a full read is followed by a wait that lets timers and other sockets run. A sleep of zero was tried first and left pauses of 0.47 s: gevent runs many of them before it looks at timers. Trailers are dropped.

--- a/apricotpin/helpers/answer_parser.py
+++ b/apricotpin/helpers/answer_parser.py
@@ -76,6 +76,15 @@
     def _on_body(self, buf: bytearray) -> None:
         self._parts += buf
 
+    def _on_header_field(self, string: str) -> None:
+        # Trailers are dropped: nothing reads them, and they may be endless.
+        if not self.head_complete:
+            super()._on_header_field(string)
+
+    def _on_header_value(self, string: str) -> None:
+        if not self.head_complete:
+            super()._on_header_value(string)
+
     def _on_message_begin(self) -> None:
         if self.message_complete and self.head_complete:
             self.surplus = True
--- a/apricotpin/helpers/exchange.py
+++ b/apricotpin/helpers/exchange.py
@@ -4,7 +4,7 @@
 import time
 from typing import Final
 
-from gevent import select, socket
+from gevent import select, sleep, socket
 from result import Err, Ok, Result
 
 from apricotpin.helpers.addresses import Address
@@ -13,6 +13,9 @@
 
 CONNECT_TIMEOUT_S: Final = 1.0
 RECEIVE_BYTES: Final = 65536
+# gevent runs many sleeps of zero in a row before it looks at other sockets
+# and timers; one of the shortest time that epoll knows lets them run.
+_YIELD_S: Final = 0.001
 
 
 class Verdict(enum.Enum):
@@ -86,19 +89,31 @@
             return None
         return None
 
+    def due_s(self) -> float:
+        """Return when silence that begins now has lasted too long."""
+        return min(time.monotonic() + self._silent_s, self._deadline_s)
+
     def read_head(self) -> Verdict | None:
-        """Read until the head is complete; return what failed."""
+        """Read until the head is complete; return what failed.
+
+        Parts of a head do not end a silence: they may come without end.
+        """
+        due_s = self.due_s()
         while not self.parser.head_complete:
-            failed = self._receive(Verdict.RESET)
+            failed = self._receive(Verdict.RESET, due_s)
             if failed:
                 return failed
         return None
 
-    def read_part(self) -> Result[bytes, Verdict]:
-        """Return the next part of the body; an empty one is the end."""
+    def read_part(self, due_s: float | None = None) -> Result[bytes, Verdict]:
+        """Return the next part of the body; an empty one is the end.
+
+        Bytes that belong to no body, as trailers, do not end a silence.
+        """
+        due_s = self.due_s() if due_s is None else due_s
         part = self.parser.take_body()
         while not part and not self.parser.message_complete:
-            failed = self._receive(Verdict.TRUNCATED)
+            failed = self._receive(Verdict.TRUNCATED, due_s)
             if failed:
                 return Err(failed)
             part = self.parser.take_body()
@@ -142,8 +157,8 @@
         if self._connection is not None:
             self._connection.close()
 
-    def _receive(self, on_end: Verdict) -> Verdict | None:
-        wait_s = min(self._silent_s, self._deadline_s - time.monotonic())
+    def _receive(self, on_end: Verdict, due_s: float) -> Verdict | None:
+        wait_s = due_s - time.monotonic()
         if wait_s <= 0:
             return Verdict.SILENT
         self._connection.settimeout(wait_s)
@@ -154,6 +169,9 @@
         except OSError:
             return on_end
         self.parser.take(received)
+        if len(received) == RECEIVE_BYTES:
+            # More may be waiting, and recv yields only when nothing is.
+            sleep(_YIELD_S)
         if self.parser.malformed:
             return on_end
         ended = not received and not self.parser.message_complete
