Parse no byte of a head beyond its limit

Callers would see nothing but memory: an endless head was parsed up to one read beyond its limit of 64 KiB.

--- a/apricotpin/helpers/answer_parser.py
+++ b/apricotpin/helpers/answer_parser.py
@@ -28,15 +28,18 @@
 
     def take(self, received: bytes) -> None:
         """Parse received bytes; no bytes at all mark the end."""
-        if not self.head_complete:
-            self._head_bytes += len(received)
-        try:
-            self.feed(received)
-        except (HTTPParseError, ValueError):
-            self.malformed = not self.surplus
-        if not self.head_complete:
-            over = self._head_bytes > ANSWER_HEAD_MAX_BYTES
-            self.malformed = self.malformed or over
+        if self.head_complete:
+            self._parse(received)
+            return
+        room_bytes = ANSWER_HEAD_MAX_BYTES - self._head_bytes
+        self._head_bytes += len(received)
+        self._parse(received[:room_bytes])
+        if self._head_bytes <= ANSWER_HEAD_MAX_BYTES or self.malformed:
+            return
+        if self.head_complete:
+            self._parse(received[room_bytes:])
+        else:
+            self.malformed = True
 
     def take_body(self) -> bytes:
         """Return the part of the body that was parsed since the last call."""
@@ -73,6 +76,12 @@
         field = self.get(name, '')
         return field if isinstance(field, str) else ''
 
+    def _parse(self, received: bytes) -> None:
+        try:
+            self.feed(received)
+        except (HTTPParseError, ValueError):
+            self.malformed = not self.surplus
+
     def _on_body(self, buf: bytearray) -> None:
         self._parts += buf
 
