Bound the bytes and the whole time of short calls

Operators would see an agent end for want of memory, or stand still, when its worker answers a report with bytes without end; entry hosts likewise with an origin or a store.

Cause: geventhttpclient's read() has no limit but a time of silence, which endless bytes never reach, and its 4 KiB reads yield only when nothing is ready, so not even a timer could have ended them.

Paths are escaped, since the old client refused names that are not Latin-1 and this one sends any.

The engine component's orders and the fetcher of the weights component still use the library's client.

--- a/apricotpin/helpers/exchange.py
+++ b/apricotpin/helpers/exchange.py
@@ -178,9 +178,13 @@
         return on_end if ended else None
 
 
-def connect(address: str, deadline_s: float) -> socket.socket | None:
+def connect(
+    address: str,
+    deadline_s: float,
+    longest_s: float = CONNECT_TIMEOUT_S,
+) -> socket.socket | None:
     """Open a connection; return None when the upstream can't be reached."""
-    wait_s = min(CONNECT_TIMEOUT_S, deadline_s - time.monotonic())
+    wait_s = min(longest_s, deadline_s - time.monotonic())
     if wait_s <= 0:
         return None
     target = Address.from_text(address).as_tuple()
--- a/apricotpin/helpers/http.py
+++ b/apricotpin/helpers/http.py
@@ -1,35 +1,54 @@
 """Short HTTP exchanges with the platform."""
 
+import contextlib
 import json
-from typing import Any
+import time
+from typing import Any, Final
+from urllib.parse import quote
 
-from geventhttpclient import HTTPClient
 from geventhttpclient.url import URL
-from result import Err, Ok, Result
+from gevent import socket
+from gevent.queue import LifoQueue
+from result import Err, Result
 
 from apricotpin.errors import ErrorKind, Failure
-from apricotpin.helpers.sockets import set_liveness_options
+from apricotpin.helpers.addresses import Address
+from apricotpin.helpers.exchange import (
+    Exchange,
+    Verdict,
+    connect,
+    is_quiet,
+)
 
+# A page of the host list or of the log, and an agent's answer, are smaller.
+EXCHANGE_ANSWER_MAX_BYTES: Final = 16777216
+# An answer may pause several times, but not go on for ever.
+EXCHANGE_TOTAL_PER_SILENCE: Final = 4
+_REPEATABLE: Final = frozenset(('GET', 'HEAD', 'PUT'))
+_WITH_BODY: Final = frozenset(('POST', 'PUT'))
+_DEFAULT_PORT: Final = 80
+# What a path with its query may hold unescaped.
+_TARGET_SAFE: Final = "/?%:@!$&'()*+,;=~"
 
-class KeptClient(HTTPClient):
-    """Keep connections to one address and notice those that went silent."""
+CallResult = Result['HttpAnswer', Verdict]
+
+
+class CallLimits:
+    """Bound one call: its connection, silence, whole time and answer."""
+
+    __slots__ = ('answer_max_bytes', 'connect_s', 'silent_s', 'total_s')
 
     def __init__(
         self,
-        ip: str,
-        port: int,
-        connections: int,
-        connect_timeout_s: float,
+        connect_s: float,
         silent_s: float,
+        total_s: float,
+        answer_max_bytes: int,
     ) -> None:
-        super().__init__(
-            ip,
-            port=port,
-            connection_timeout=connect_timeout_s,
-            network_timeout=silent_s,
-            concurrency=connections,
-        )
-        self._connection_pool.after_connect = set_liveness_options
+        self.connect_s = connect_s
+        self.silent_s = silent_s
+        self.total_s = total_s
+        self.answer_max_bytes = answer_max_bytes
 
 
 class HttpAnswer:
@@ -47,7 +66,10 @@
 
 
 class HttpRequest:
-    """Describe a request to the platform."""
+    """Describe a request to the platform.
+
+    url is whole for exchange(), a path with its query for a kept client.
+    """
 
     __slots__ = ('body', 'content_type', 'method', 'url')
 
@@ -68,6 +90,134 @@
         """Build a request that carries a JSON document."""
         return cls(method, url, json.dumps(document).encode())
 
+    def encode(self, host: str) -> bytes:
+        """Encode a request whose url is a path."""
+        # A model's name may hold anything, also the end of a line.
+        target = quote(self.url, safe=_TARGET_SAFE)
+        lines = [
+            f'{self.method} {target} HTTP/1.1',
+            f'Host: {host}',
+        ]
+        if self.content_type:
+            lines.append(f'Content-Type: {self.content_type}')
+        if self.body or self.method in _WITH_BODY:
+            lines.append(f'Content-Length: {len(self.body)}')
+        text = '\r\n'.join(lines)
+        return f'{text}\r\n\r\n'.encode('latin-1') + self.body
+
+
+class KeptClient:
+    """Keep connections to one address; several greenlets may call.
+
+    A connection whose call failed is closed.
+    """
+
+    __slots__ = ('_address', '_closed', '_limits', '_places')
+
+    def __init__(
+        self,
+        address: str,
+        connections: int,
+        limits: CallLimits,
+    ) -> None:
+        # An address that is none is found here, not at each call.
+        self._address = str(Address.from_text(address))
+        self._limits = limits
+        self._closed = False
+        # Each place holds an idle connection, or None before it is opened.
+        self._places: LifoQueue = LifoQueue()
+        for _ in range(connections):
+            self._places.put(None)
+
+    def call(self, request: HttpRequest) -> CallResult:
+        """Send a request and read the whole answer of any status.
+
+        The time allowed begins once a connection is free.
+        """
+        place = _Place(self._address, self._limits, self._places.get())
+        with contextlib.ExitStack() as ending:
+            ending.callback(self._take_back, place)
+            return place.call(request)
+
+    def close(self) -> None:
+        """Close all connections; those in use are closed after their call."""
+        self._closed = True
+        for _ in range(self._places.qsize()):
+            idle = self._places.get()
+            if idle is not None:
+                idle.close()
+            self._places.put(None)
+
+    def _take_back(self, place: '_Place') -> None:
+        if self._closed:
+            place.close()
+        self._places.put(place.idle)
+
+
+class _Place:
+    """Own a connection, or the right to open one, during one call."""
+
+    __slots__ = ('idle', '_address', '_limits')
+
+    def __init__(
+        self,
+        address: str,
+        limits: CallLimits,
+        idle: socket.socket | None,
+    ) -> None:
+        self.idle = idle
+        self._address = address
+        self._limits = limits
+
+    def call(self, request: HttpRequest) -> CallResult:
+        deadline_s = time.monotonic() + self._limits.total_s
+        if self.idle is not None and not is_quiet(self.idle):
+            self.close()
+        reused = self.idle is not None
+        answered = self._try(request, deadline_s)
+        if answered.is_ok() or not reused:
+            return answered
+        if _may_repeat(request, answered.err_value):
+            return self._try(request, deadline_s)
+        return answered
+
+    def close(self) -> None:
+        if self.idle is not None:
+            self.idle.close()
+            self.idle = None
+
+    def _try(self, request: HttpRequest, deadline_s: float) -> CallResult:
+        connection = self.idle
+        self.idle = None
+        if connection is None:
+            connection = connect(
+                self._address,
+                deadline_s,
+                self._limits.connect_s,
+            )
+        if connection is None:
+            return Err(Verdict.CONNECT_FAILED)
+        used = Exchange(
+            connection,
+            request.method,
+            self._limits.silent_s,
+            deadline_s,
+        )
+        with contextlib.closing(used):
+            answered = self._use(used, request)
+            self.idle = used.release()
+        return answered
+
+    def _use(self, used: Exchange, request: HttpRequest) -> CallResult:
+        encoded = request.encode(self._address)
+        failed = used.send(encoded) or used.read_head()
+        if failed:
+            return Err(failed)
+        body = used.read_all(self._limits.answer_max_bytes)
+        return body.map(
+            lambda whole: HttpAnswer(used.parser.get_code(), whole),
+        )
+
 
 def exchange(
     request: HttpRequest,
@@ -76,38 +226,41 @@
 ) -> Result[HttpAnswer, Failure]:
     """Send a request on a new connection and read the whole answer.
 
-    Return a failure of the given kind when the connection fails or nothing
-    arrives for timeout_s; an answer of any status is no failure here.
+    Return a failure of the given kind when the connection fails, nothing
+    arrives for timeout_s or the answer does not end; an answer of any status
+    is no failure here.
     """
     url = URL(request.url)
-    client = HTTPClient.from_url(
-        url,
-        connection_timeout=timeout_s,
-        network_timeout=timeout_s,
+    limits = CallLimits(
+        timeout_s,
+        timeout_s,
+        timeout_s * EXCHANGE_TOTAL_PER_SILENCE,
+        EXCHANGE_ANSWER_MAX_BYTES,
     )
-    try:
-        return Ok(_read_answer(client, url, request))
-    except Exception as error:
-        # geventhttpclient raises several unrelated exception types.
-        detail = f'{request.method} {request.url}: {error!r}'
-        return Err(Failure(failure_kind, detail))
-    finally:
-        client.close()
-
-
-def _read_answer(
-    client: HTTPClient,
-    url: URL,
-    request: HttpRequest,
-) -> HttpAnswer:
-    response = client.request(
-        request.method,
-        url.request_uri,
-        body=request.body,
-        headers={'Content-Type': request.content_type},
+    address = f'{url.host}:{url.port or _DEFAULT_PORT}'
+    with contextlib.closing(KeptClient(address, 1, limits)) as client:
+        answered = client.call(
+            HttpRequest(
+                request.method,
+                url.request_uri,
+                request.body,
+                request.content_type,
+            ),
+        )
+    return answered.map_err(
+        lambda verdict: Failure(
+            failure_kind,
+            f'{request.method} {request.url}: {verdict.value}',
+        ),
     )
-    body = bytes(response.read())
-    declared = response.get('content-length')
-    if declared is not None and int(declared) != len(body):
-        raise ValueError(f'{len(body)} of {declared} bytes arrived')
-    return HttpAnswer(response.status_code, body)
+
+
+def _may_repeat(request: HttpRequest, verdict: Verdict) -> bool:
+    """Tell whether a request may be sent again over a new connection.
+
+    The kept one may have ended before the request came. An order or an
+    append that was sent could take effect twice.
+    """
+    if verdict is Verdict.CONNECT_FAILED:
+        return True
+    return verdict is Verdict.RESET and request.method in _REPEATABLE
--- a/apricotpin/platform/calls.py
+++ b/apricotpin/platform/calls.py
@@ -6,13 +6,22 @@
 from result import Err, Ok, Result
 
 from apricotpin.errors import ErrorKind, Failure
-from apricotpin.helpers.addresses import Address
-from apricotpin.helpers.http import HttpAnswer, KeptClient
+from apricotpin.helpers.http import (
+    CallLimits,
+    HttpAnswer,
+    HttpRequest,
+    KeptClient,
+)
 
 # A worker may hold a request back while it is full; a piece of 32 KiB from
 # the origin takes some 30 ms, more while others read.
 CALL_TIMEOUT_S: Final = 2.0
 CONNECT_TIMEOUT_S: Final = 0.5
+# A piece that takes longer than this is better asked for again.
+CALL_TOTAL_S: Final = 5.0
+# The manifest of 60,000 pieces; a piece has 32 KiB, a report less. An agent
+# has 168 MB and calls over five connections.
+ANSWER_MAX_BYTES: Final = 4194304
 
 
 class HttpCaller:
@@ -21,14 +30,16 @@
     __slots__ = ('_client', '_kind')
 
     def __init__(self, address: str, connections: int, kind: ErrorKind) -> None:
-        parsed = Address.from_text(address)
         self._kind = kind
         self._client = KeptClient(
-            parsed.ip,
-            parsed.port,
+            address,
             connections,
-            CONNECT_TIMEOUT_S,
-            CALL_TIMEOUT_S,
+            CallLimits(
+                CONNECT_TIMEOUT_S,
+                CALL_TIMEOUT_S,
+                CALL_TOTAL_S,
+                ANSWER_MAX_BYTES,
+            ),
         )
 
     def call(
@@ -39,36 +50,19 @@
         content_type: str = 'application/octet-stream',
     ) -> Result[HttpAnswer, Failure]:
         """Send a request and read the whole answer of any status."""
-        try:
-            return Ok(self._exchange(method, path, body, content_type))
-        except Exception as error:
-            # geventhttpclient raises several unrelated exception types.
-            detail = f'{method} {path}: {error!r}'
-            return Err(Failure(self._kind, detail))
+        request = HttpRequest(method, path, body, content_type)
+        answered = self._client.call(request)
+        return answered.map_err(
+            lambda verdict: Failure(
+                self._kind,
+                f'{method} {path}: {verdict.value}',
+            ),
+        )
 
     def close(self) -> None:
         """Close all connections."""
         self._client.close()
 
-    def _exchange(
-        self,
-        method: str,
-        path: str,
-        body: bytes,
-        content_type: str,
-    ) -> HttpAnswer:
-        response = self._client.request(
-            method,
-            path,
-            body=body,
-            headers={'Content-Type': content_type},
-        )
-        received = bytes(response.read())
-        declared = response.get('content-length')
-        if declared is not None and int(declared) != len(received):
-            raise ValueError(f'{len(received)} of {declared} bytes arrived')
-        return HttpAnswer(response.status_code, received)
-
 
 def expect(
     answered: Result[HttpAnswer, Failure],
--- a/apricotpin/platform/store_client.py
+++ b/apricotpin/platform/store_client.py
@@ -8,12 +8,15 @@
 from result import Err, Ok, Result
 
 from apricotpin.errors import ErrorKind, Failure
-from apricotpin.helpers.addresses import Address
-from apricotpin.helpers.http import KeptClient
+from apricotpin.helpers.http import CallLimits, HttpRequest, KeptClient
 from apricotpin.platform import names
 
 # The store answers in a few ms; on a slow day in some hundred.
 CALL_TIMEOUT_S: Final = 1.5
+# A page of 1 MB takes a second over the link between two regions.
+TRANSFER_S: Final = 4.0
+# A page holds 1 MB, a third more in base64; records are longer as text.
+ANSWER_MAX_BYTES: Final = 8388608
 _MS_PER_S: Final = 1000
 _LENGTH: Final = struct.Struct('>I')
 _OFFSETS: Final = struct.Struct('>QQ')
@@ -41,12 +44,17 @@
     wait_s is the longest that a read may wait for its first record.
     """
 
-    __slots__ = ('_address', '_client', '_silent_s')
+    __slots__ = ('_client',)
 
     def __init__(self, address: str, wait_s: float = 0) -> None:
-        self._address = Address.from_text(address)
-        self._silent_s = CALL_TIMEOUT_S + wait_s
-        self._client: KeptClient | None = None
+        silent_s = CALL_TIMEOUT_S + wait_s
+        limits = CallLimits(
+            CALL_TIMEOUT_S,
+            silent_s,
+            silent_s + TRANSFER_S,
+            ANSWER_MAX_BYTES,
+        )
+        self._client = KeptClient(address, 1, limits)
 
     def newest(self, topic: str) -> Result[RawPage, Failure]:
         """Return the newest record of each key of a topic.
@@ -98,9 +106,7 @@
 
     def close(self) -> None:
         """Close the connection."""
-        if self._client is not None:
-            self._client.close()
-            self._client = None
+        self._client.close()
 
     def _call(
         self,
@@ -108,41 +114,20 @@
         path: str,
         body: bytes = b'',
     ) -> Result[bytes, Failure]:
-        try:
-            response, received = self._exchange(method, path, body)
-        except Exception as error:
-            # geventhttpclient raises several unrelated exception types; a
-            # connection that lost an answer returns nothing further.
-            self.close()
-            return Err(Failure(ErrorKind.LOG_UNAVAILABLE, repr(error)))
-        except BaseException:
-            self.close()
-            raise
-        if response == _STATUS_OK:
-            return Ok(received)
-        detail = f'{method} {path}: status {response}'
+        request = HttpRequest(method, path, body, content_type='')
+        answered = self._client.call(request)
+        if answered.is_err():
+            detail = f'{method} {path}: {answered.err_value.value}'
+            return Err(Failure(ErrorKind.LOG_UNAVAILABLE, detail))
+        answer = answered.ok_value
+        if answer.status == _STATUS_OK:
+            return Ok(answer.body)
+        detail = f'{method} {path}: status {answer.status}'
         kind = ErrorKind.LOG_UNAVAILABLE
-        if response == _STATUS_GONE:
+        if answer.status == _STATUS_GONE:
             kind = ErrorKind.LOG_OFFSET_EXPIRED
         return Err(Failure(kind, detail))
 
-    def _exchange(
-        self,
-        method: str,
-        path: str,
-        body: bytes,
-    ) -> tuple[int, bytes]:
-        if self._client is None:
-            self._client = KeptClient(
-                self._address.ip,
-                self._address.port,
-                1,
-                CALL_TIMEOUT_S,
-                self._silent_s,
-            )
-        response = self._client.request(method, path, body=body)
-        return response.status_code, bytes(response.read())
-
 
 def _add_newest(whole: RawPage, page: Any) -> str:
     """Add a page of newest records; return its last key."""
