Ask another worker in time when an answer does not end

Callers saw: where a worker trickled a body, a refusal or a stream's event without end, an idempotent request ended as 504 at its deadline, though a second worker was free; a refusal that never ended was passed on as 503 after the whole time, instead of going to another worker at once.

Cause: each part began the time of silence anew; the body of a refusal was read like an answer's, with 8 MiB and the time up to the deadline; so was the body of an answer that its head had already shown to be another request's or unsealed, and dispatch was told answer_too_large of it.

A refusal's body is read for at most 0.1 s and 16 KiB, to keep the connection; a body that nobody may get is not read. An answer that does not state its length must be whole within the time of silence of its request; one that states it may take its time. Only a whole event ends a stream's silence.

--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -2,7 +2,7 @@
 
 import time
 import uuid
-from typing import Any
+from typing import Any, Final
 
 from result import Err, Ok, Result
 
@@ -22,6 +22,9 @@
     Picked,
 )
 
+_NOT_RUN: Final = frozenset((Verdict.BUSY, Verdict.MISDIRECTED))
+_DELIVERABLE: Final = frozenset((Verdict.ANSWERED, Verdict.UPSTREAM_ERROR))
+
 
 def pick(job: Job) -> Result[Picked, Failure]:
     """Ask for an upstream for the next attempt."""
@@ -70,8 +73,10 @@
 def read_events(job: Job, attempt: Attempt) -> Result[bytes, Verdict]:
     """Return whole events as they arrive; nothing marks the stream's end."""
     splitter = attempt.splitter
+    # Only a whole event ends a silence: parts of one may come without end.
+    due_s = attempt.exchange.due_s()
     while True:
-        part = attempt.exchange.read_part()
+        part = attempt.exchange.read_part(due_s)
         if part.is_err():
             return part
         if not part.ok_value:
@@ -190,16 +195,32 @@
 
 
 def _read_body(job: Job, attempt: Attempt, verdict: Verdict) -> Verdict:
-    body = attempt.exchange.read_all(const.ANSWER_BODY_MAX_BYTES)
+    if verdict in _NOT_RUN:
+        # What a worker says of a request it did not run holds however its
+        # body ends.
+        attempt.exchange.set_silence(const.REFUSAL_READ_S)
+        attempt.exchange.read_all(
+            const.REFUSAL_BODY_MAX_BYTES,
+            attempt.exchange.due_s(),
+        )
+        return verdict
+    if verdict not in _DELIVERABLE:
+        return verdict
+    body = attempt.exchange.read_all(
+        const.ANSWER_BODY_MAX_BYTES,
+        _body_due_s(attempt.exchange),
+    )
     if body.is_err():
-        # What a worker says of a request it did not run holds all the same.
-        if verdict in {Verdict.BUSY, Verdict.MISDIRECTED}:
-            return verdict
         return body.err_value
     _note_first_part(job, attempt, body.ok_value)
     return verdict
 
 
+def _body_due_s(exchange: Exchange) -> float | None:
+    """Return when a body that may have no end must be whole."""
+    return None if exchange.parser.has_length else exchange.due_s()
+
+
 def _note_first_part(job: Job, attempt: Attempt, part: bytes) -> None:
     attempt.first_part = part
     attempt.waited_s = time.monotonic() - attempt.sent_s
--- a/apricotpin/components/gateway/const.py
+++ b/apricotpin/components/gateway/const.py
@@ -14,6 +14,10 @@
 WRITE_TIMEOUT_S: Final = 10.0
 ANSWER_BODY_MAX_BYTES: Final = 8388608
 EVENT_MAX_BYTES: Final = 1048576
+# The body of a refusal is read only to keep its connection; it is a few
+# words, which arrive with the head.
+REFUSAL_BODY_MAX_BYTES: Final = 16384
+REFUSAL_READ_S: Final = 0.1
 # A request that no upstream has room for is held for this part of its goal;
 # a longer wait is better spent by the caller.
 HOLD_SHARE_OF_GOAL: Final = 0.12
--- a/apricotpin/helpers/answer_parser.py
+++ b/apricotpin/helpers/answer_parser.py
@@ -62,6 +62,11 @@
         """
         return self.message_complete and self._framed
 
+    @property
+    def has_length(self) -> bool:
+        """Tell whether the head says where the answer ends."""
+        return 'content-length' in self
+
     @property
     def reusable(self) -> bool:
         """Tell whether the connection may carry another request.
--- a/apricotpin/helpers/exchange.py
+++ b/apricotpin/helpers/exchange.py
@@ -129,11 +129,18 @@
             return Err(Verdict.TRUNCATED)
         return body
 
-    def read_all(self, limit_bytes: int) -> Result[bytes, Verdict]:
-        """Return the whole body, also one that ends with its connection."""
+    def read_all(
+        self,
+        limit_bytes: int,
+        due_s: float | None = None,
+    ) -> Result[bytes, Verdict]:
+        """Return the whole body, also one that ends with its connection.
+
+        Without due_s each part of the body ends a silence.
+        """
         body = bytearray()
         while True:
-            part = self.read_part()
+            part = self.read_part(due_s)
             if part.is_err():
                 return part
             if not part.ok_value:
--- a/tests/endless_sender.py
+++ b/tests/endless_sender.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import os
 import socket
 import subprocess
 import sys
@@ -15,6 +16,8 @@
 _HEAD_END = b'\r\n\r\n'
 _BLOCK_BYTES = 65536
 _CLOSED_S = 5
+# The process ends by itself if its test could not end it.
+_LIFETIME_S = 30
 
 
 class EndlessSender:
@@ -87,6 +90,9 @@
 def main():
     """Serve each connection of the inherited listener in a thread."""
     settings = json.loads(sys.argv[1])
+    ending = threading.Timer(_LIFETIME_S, os._exit, (1,))
+    ending.daemon = True
+    ending.start()
     listener = socket.socket(fileno=settings['listener'])
     listener.setblocking(True)
     _report('listening')
