Deliver a whole answer that closes its connection, whatever follows

Callers saw: a worker's whole answer with "Connection: close", followed by bytes of no request, was thrown away. Requests that may run once ended as 502 though they had run, others ran a second time.

Cause: after such an answer the parser refuses every byte before it reports the begin of a second answer, which alone counted as surplus.

Three of six rows of "a whole answer that is followed by endless" failed before with 502. An error of the parser after the whole answer is surplus now; the connection is not used again.

--- a/apricotpin/helpers/answer_parser.py
+++ b/apricotpin/helpers/answer_parser.py
@@ -74,7 +74,7 @@
         Bytes that follow the answer end the parser, and with it the
         connection.
         """
-        return self.whole and self.should_keep_alive()
+        return self.whole and not self.surplus and self.should_keep_alive()
 
     def header(self, name: str) -> str:
         """Return the value of a header, or nothing if it is not single."""
@@ -85,6 +85,10 @@
         try:
             self.feed(received)
         except (HTTPParseError, ValueError):
+            # After an answer that closes the connection the parser refuses
+            # any byte; the answer is whole all the same.
+            ended = self.head_complete and self.message_complete
+            self.surplus = self.surplus or ended
             self.malformed = not self.surplus
 
     def _on_body(self, buf: bytearray) -> None:
--- a/tests/components/gateway/endless.feature
+++ b/tests/components/gateway/endless.feature
@@ -60,16 +60,19 @@
       | non_idempotent | unframed body | 504           |
       | resumable      | whole events  | broken stream |
 
-  Scenario Outline: an answer that is followed by endless <part> is whole
+  Scenario Outline: a whole <answer> that is followed by endless <part>
     # It is the worker's answer; what follows belongs to no request.
-    Given gateway's first worker sends a whole answer and endless <part>
+    Given gateway's first worker sends a whole <answer> and endless <part>
     When gateway is sent a request that is non_idempotent for at most 1 workers
     Then gateway's caller gets 200 within 1 s
     And gateway told dispatch of answered
     And gateway closed the connection of the first worker
 
     Examples:
-      | part    |
-      | garbage |
-      | answers |
-      | zeros   |
+      | answer         | part    |
+      | answer         | garbage |
+      | answer         | answers |
+      | answer         | zeros   |
+      | closing answer | garbage |
+      | closing answer | answers |
+      | closing answer | zeros   |
--- a/tests/steps/gateway_endless_steps.py
+++ b/tests/steps/gateway_endless_steps.py
@@ -40,6 +40,10 @@
 _LONG = b'Content-Length: 99999999999\r\n\r\n'
 _CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
 _WHOLE = _OK + b'Content-Length: 5\r\n\r\nright'
+_ANSWERS = {
+    'answer': _WHOLE,
+    'closing answer': _WHOLE.replace(_NAMED, _NAMED + b'Connection: close\r\n'),
+}
 _EVENT = b'id: 1\ndata: a\n\n'
 _ENDLESS = {
     'body': (_OK + _LONG, b'x'),
@@ -198,11 +202,11 @@
     _start(context, *_ENDLESS[part])
 
 
-@given("gateway's first worker sends a whole answer and endless {part}")
-def whole_answer(context, part):
+@given("gateway's first worker sends a whole {answer} and endless {part}")
+def whole_answer(context, answer, part):
     # Both arrive in one read.
     after = _AFTER_ANSWER[part]
-    _start(context, _WHOLE + after, after)
+    _start(context, _ANSWERS[answer] + after, after)
 
 
 @when('gateway is sent a request that is {kind} for at most {most:d} workers')
