Bound the memory of all large answers together

The gateway service now grants room: 48 MiB for all answers over 256 KiB, each counted in steps of 1 MiB until its request ends. An answer without room ends as one that is too large, with a log line that names the cause; it is never delivered in part and never called "not run".

--- a/apricotpin/components/gateway/__init__.py
+++ b/apricotpin/components/gateway/__init__.py
@@ -57,6 +57,7 @@
         {
             service.BeginCall: gateway.begin,
             service.EndCall: gateway.end,
+            service.HoldAnswer: gateway.hold,
             service.ConnectionIdle: gateway.note_idle,
             service.ConnectionBusy: gateway.note_busy,
             service.GetLimits: gateway.limits,
--- a/apricotpin/components/gateway/application.py
+++ b/apricotpin/components/gateway/application.py
@@ -85,7 +85,8 @@
             self._watcher.kill(block=False)
         if self._job is not None:
             attempts.abandon(self._job)
-        self._kernel.send(SERVICE_GATEWAY, EndCall())
+        ticket = '' if self._job is None else self._job.ticket
+        self._kernel.send(SERVICE_GATEWAY, EndCall(ticket))
         self._kernel.send(
             SERVICE_METRICS,
             Observe('request_duration_s', time.monotonic() - self._started_s),
--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from apricotpin.components.gateway import const, decisions, stories
+from apricotpin.components.gateway import bodies, const, decisions, stories
 from apricotpin.components.gateway.events import EventSplitter
 from apricotpin.components.gateway.state import Attempt, Job
 from apricotpin.const import SERVICE_DISPATCH, SERVICE_METRICS
@@ -198,29 +198,17 @@
     if verdict in _NOT_RUN:
         # What a worker says of a request it did not run holds however its
         # body ends.
-        attempt.exchange.set_silence(const.REFUSAL_READ_S)
-        attempt.exchange.read_all(
-            const.REFUSAL_BODY_MAX_BYTES,
-            attempt.exchange.due_s(),
-        )
+        bodies.skip_refusal(attempt.exchange)
         return verdict
     if verdict not in _DELIVERABLE:
         return verdict
-    body = attempt.exchange.read_all(
-        const.ANSWER_BODY_MAX_BYTES,
-        _body_due_s(attempt.exchange),
-    )
+    body = bodies.read_answer(job, attempt.exchange)
     if body.is_err():
         return body.err_value
     _note_first_part(job, attempt, body.ok_value)
     return verdict
 
 
-def _body_due_s(exchange: Exchange) -> float | None:
-    """Return when a body that may have no end must be whole."""
-    return None if exchange.parser.has_length else exchange.due_s()
-
-
 def _note_first_part(job: Job, attempt: Attempt, part: bytes) -> None:
     attempt.first_part = part
     attempt.waited_s = time.monotonic() - attempt.sent_s
--- a/apricotpin/components/gateway/const.py
+++ b/apricotpin/components/gateway/const.py
@@ -13,6 +13,11 @@
 # A caller that reads nothing for this long has left.
 WRITE_TIMEOUT_S: Final = 10.0
 ANSWER_BODY_MAX_BYTES: Final = 8388608
+# Answers up to this size are not counted; the larger ones share the room for
+# all of them, in these steps. The smallest entry hosts have 200 MB.
+ANSWER_UNCOUNTED_BYTES: Final = 262144
+ANSWERS_STEP_BYTES: Final = 1048576
+ANSWERS_MAX_BYTES: Final = 50331648
 EVENT_MAX_BYTES: Final = 1048576
 # The body of a refusal is read only to keep its connection; it is a few
 # words, which arrive with the head.
--- a/apricotpin/components/gateway/service.py
+++ b/apricotpin/components/gateway/service.py
@@ -29,9 +29,25 @@
 
 
 class EndCall:
-    """Tell that a request ended, whether or not it began."""
+    """Tell that a request ended, whether or not it began.
 
-    __slots__ = ()
+    ticket is empty for one that asked no upstream.
+    """
+
+    __slots__ = ('ticket',)
+
+    def __init__(self, ticket: str = '') -> None:
+        self.ticket = ticket
+
+
+class HoldAnswer:
+    """Ask for room for all of a large answer until its request ends."""
+
+    __slots__ = ('size_bytes', 'ticket')
+
+    def __init__(self, ticket: str, size_bytes: int) -> None:
+        self.ticket = ticket
+        self.size_bytes = size_bytes
 
 
 class ConnectionIdle:
@@ -82,6 +98,7 @@
     __slots__ = (
         '_close_listener',
         '_drained',
+        '_held_bytes',
         '_idle',
         '_in_progress',
         '_kernel',
@@ -98,6 +115,7 @@
         self._kernel = kernel
         self._close_listener = close_listener
         self._in_progress = 0
+        self._held_bytes: dict[str, int] = {}
         self._idle: set[Any] = set()
         self._limits: CallerLimits | None = None
         self._stopping = False
@@ -112,9 +130,20 @@
         else:
             reply.ok(Begun(self._stopping))
 
-    def end(self, _message: EndCall, reply: Reply) -> None:
+    def hold(self, message: HoldAnswer, reply: Reply) -> None:
+        """Grant room for an answer, unless others hold too much of it."""
+        own_bytes = self._held_bytes.get(message.ticket, 0)
+        others_bytes = sum(self._held_bytes.values()) - own_bytes
+        if others_bytes + message.size_bytes > const.ANSWERS_MAX_BYTES:
+            reply.err(ErrorKind.OVERLOADED, 'large answers fill their room')
+            return
+        self._held_bytes[message.ticket] = message.size_bytes
+        reply.ok()
+
+    def end(self, message: EndCall, reply: Reply) -> None:
         """Take a request back."""
         self._in_progress -= 1
+        self._held_bytes.pop(message.ticket, None)
         self._answer_if_drained()
         reply.ok()
 
--- a/apricotpin/components/gateway/state.py
+++ b/apricotpin/components/gateway/state.py
@@ -1,5 +1,6 @@
 """One request on its way through upstreams, and one attempt at it."""
 
+import uuid
 from collections.abc import Callable
 from typing import Any
 
@@ -17,7 +18,11 @@
 
 
 class Job:
-    """Own one request on its way through upstreams."""
+    """Own one request on its way through upstreams.
+
+    ticket names it to the gateway service, which has granted held_bytes for
+    its answer.
+    """
 
     __slots__ = (
         'before_send',
@@ -25,9 +30,11 @@
         'codec',
         'current',
         'head',
+        'held_bytes',
         'kernel',
         'progress',
         'resolved',
+        'ticket',
     )
 
     def __init__(
@@ -46,6 +53,8 @@
         self.body = body
         self.progress = progress
         self.current: Attempt | None = None
+        self.ticket = uuid.uuid4().hex
+        self.held_bytes = 0
         # Called each time before the request is sent to an upstream.
         self.before_send: Callable[[], Any] | None = None
 
--- a/tests/components/gateway/endless.feature
+++ b/tests/components/gateway/endless.feature
@@ -76,3 +76,25 @@
       | closing answer | garbage |
       | closing answer | answers |
       | closing answer | zeros   |
+
+  Scenario: many endless bodies at once leave memory for the rest
+    # Each of them may take 8 MiB, and an entry host has 200 MB.
+    Given gateway's first worker sends endless body
+    When gateway is sent 40 requests at once that only the first worker takes
+    Then gateway held at most 100 MB for them
+    And gateway answered each of them with 502
+    And gateway holds no room for answers
+
+  Scenario Outline: an answer of <size> bytes while others hold <held> is <fate>
+    Given gateway's requests hold <held> bytes of answers
+    When gateway asks for room for <size> bytes for <asker>
+    Then gateway's room is <fate>
+
+    Examples:
+      | held              | asker       | size    | fate    |
+      | 0                 | another     | 8388608 | granted |
+      | 41943040          | another     | 8388608 | granted |
+      | 41943040, 1048576 | another     | 8388608 | refused |
+      | 41943040, 1048576 | the second  | 8388608 | granted |
+      # Room is free again once its request has ended.
+      | 41943040, 8388608 | another after the second ended | 8388608 | granted |
--- a/tests/steps/gateway_endless_steps.py
+++ b/tests/steps/gateway_endless_steps.py
@@ -1,14 +1,20 @@
 """Steps for workers whose answers do not end."""
 
 import time
+import tracemalloc
 
 from behave import given, then, when
-from gevent import sleep, socket
+from gevent import joinall, sleep, socket, spawn
 
 from apricotpin.components.gateway.application import Call
 from apricotpin.components.gateway.callers import RawCall
 from apricotpin.components.gateway.serving import BrokenAnswer
-from apricotpin.components.gateway.service import BeginCall, Begun, EndCall
+from apricotpin.components.gateway.service import (
+    BeginCall,
+    EndCall,
+    GatewayService,
+    HoldAnswer,
+)
 from apricotpin.const import (
     SERVICE_DISPATCH,
     SERVICE_GATEWAY,
@@ -34,6 +40,7 @@
 
 _TIMEOUT_S = 2.0
 _SLOW_S = 0.1
+_BYTES_PER_MB = 1048576
 _SETTLE_S = 0.05
 _NAMED = b'X-Attempt-Id: r1\r\nX-Server-Seal: s\r\n'
 _OK = b'HTTP/1.1 200 OK\r\n' + _NAMED
@@ -99,11 +106,12 @@
 
     def __init__(self, sender):
         self.kernel = Kernel('entry')
+        self.gateway = GatewayService(self.kernel, lambda: None)
         self.sender = sender
         self.second = _SealedUpstream()
         self.addresses = [sender.address, self.second.address]
         self.verdicts = []
-        self.status = None
+        self.statuses = []
         self.parts = []
         self.broken = False
         self.ends = socket.socketpair()
@@ -112,15 +120,13 @@
         """Send the request and keep what its caller gets."""
         self._register(kind, most)
         self.second.streams = kind in {'resumable', 'stream'}
-        headers = [('Host', 'a.test'), ('X-Attempt-Id', 'r1')]
-        raw = RawCall('POST', '/x/', headers, _Body(), 99, self.ends[1])
-        call = Call(self.kernel, make_codec(), raw)
-        try:
-            self.parts.extend(call.run(self._begin))
-        except BrokenAnswer:
-            self.broken = True
-        call.close()
-        sleep(_SETTLE_S)
+        self._ask()
+
+    def run_many(self, count):
+        """Send requests at once, each to the first worker alone."""
+        self._register('idempotent', 1)
+        self.addresses = [self.sender.address] * count
+        joinall([spawn(self._ask) for _ in range(count)])
 
     def close(self):
         """End what the scenario started."""
@@ -134,14 +140,26 @@
         body = b''.join(self.parts)
         if self.broken:
             return 'broken stream'
-        if self.second.streams and self.status == 200:
+        status = self.statuses[0]
+        if self.second.streams and status == 200:
             return 'whole stream' if body == _EVENT else body
-        if self.status == 200:
+        if status == 200:
             assert body == b'right', body[:99]
-        return str(self.status)
+        return str(status)
+
+    def _ask(self):
+        headers = [('Host', 'a.test'), ('X-Attempt-Id', 'r1')]
+        raw = RawCall('POST', '/x/', headers, _Body(), 99, self.ends[1])
+        call = Call(self.kernel, make_codec(), raw)
+        try:
+            self.parts.extend(call.run(self._begin))
+        except BrokenAnswer:
+            self.broken = True
+        call.close()
+        sleep(_SETTLE_S)
 
     def _begin(self, status, _headers):
-        self.status = int(status.split()[0])
+        self.statuses.append(int(status.split()[0]))
 
     def _register(self, kind, most):
         route = make_route(
@@ -166,8 +184,9 @@
                 PickUpstream: self._pick,
             },
             SERVICE_GATEWAY: {
-                BeginCall: lambda _message, reply: reply.ok(Begun(False)),
-                EndCall: ignore,
+                BeginCall: self.gateway.begin,
+                EndCall: self.gateway.end,
+                HoldAnswer: self.gateway.hold,
             },
             SERVICE_METRICS: {Observe: ignore, Count: ignore},
         }
@@ -231,3 +250,65 @@
 @then('gateway closed the connection of the first worker')
 def closed(context):
     context.world.sender.wait_closed()
+
+
+@when(
+    'gateway is sent {count:d} requests at once that only the first worker '
+    'takes'
+)
+def send_many(context, count):
+    tracemalloc.start()
+    context.world.run_many(count)
+    context.held_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    context.count = count
+
+
+@then('gateway held at most {most:d} MB for them')
+def held_at_most(context, most):
+    assert context.held_bytes <= most * _BYTES_PER_MB, context.held_bytes
+
+
+@then('gateway answered each of them with {status:d}')
+def answered_each(context, status):
+    found = context.world.statuses
+    assert found == [status] * context.count, found
+
+
+@then('gateway holds no room for answers')
+def holds_nothing(context):
+    assert not context.world.gateway._held_bytes
+
+
+class _Answer:
+    """Keep how a service answered."""
+
+    def __init__(self):
+        self.fate = ''
+
+    def ok(self, *_granted):
+        self.fate = 'granted'
+
+    def err(self, *_refusal):
+        self.fate = 'refused'
+
+
+@given("gateway's requests hold {held} bytes of answers")
+def hold_answers(context, held):
+    context.gateway = GatewayService(Kernel('entry'), lambda: None)
+    for ticket, size in enumerate(held.split(', ')):
+        context.gateway.hold(HoldAnswer(str(ticket), int(size)), _Answer())
+
+
+@when('gateway asks for room for {size:d} bytes for {asker}')
+def ask_room(context, size, asker):
+    if asker.endswith('ended'):
+        context.gateway.end(EndCall('1'), _Answer())
+    ticket = '1' if asker == 'the second' else 'another'
+    context.answer = _Answer()
+    context.gateway.hold(HoldAnswer(ticket, size), context.answer)
+
+
+@then("gateway's room is {fate}")
+def room_is(context, fate):
+    assert context.answer.fate == fate
