--- a/apricotpin/helpers/answer_parser.py
+++ b/apricotpin/helpers/answer_parser.py
@@ -28,15 +28,18 @@
 
     def take(self, received: bytes) -> None:
         """Parse received bytes; no bytes at all mark the end."""
-        if not self.head_complete:
-            self._head_bytes += len(received)
-        try:
-            self.feed(received)
-        except (HTTPParseError, ValueError):
-            self.malformed = not self.surplus
-        if not self.head_complete:
-            over = self._head_bytes > ANSWER_HEAD_MAX_BYTES
-            self.malformed = self.malformed or over
+        if self.head_complete:
+            self._parse(received)
+            return
+        room_bytes = ANSWER_HEAD_MAX_BYTES - self._head_bytes
+        self._head_bytes += len(received)
+        self._parse(received[:room_bytes])
+        if self._head_bytes <= ANSWER_HEAD_MAX_BYTES or self.malformed:
+            return
+        if self.head_complete:
+            self._parse(received[room_bytes:])
+        else:
+            self.malformed = True
 
     def take_body(self) -> bytes:
         """Return the part of the body that was parsed since the last call."""
@@ -59,6 +62,11 @@
         """
         return self.message_complete and self._framed
 
+    @property
+    def has_length(self) -> bool:
+        """Tell whether the head says where the answer ends."""
+        return 'content-length' in self
+
     @property
     def reusable(self) -> bool:
         """Tell whether the connection may carry another request.
@@ -66,16 +74,35 @@
         Bytes that follow the answer end the parser, and with it the
         connection.
         """
-        return self.whole and self.should_keep_alive()
+        return self.whole and not self.surplus and self.should_keep_alive()
 
     def header(self, name: str) -> str:
         """Return the value of a header, or nothing if it is not single."""
         field = self.get(name, '')
         return field if isinstance(field, str) else ''
 
+    def _parse(self, received: bytes) -> None:
+        try:
+            self.feed(received)
+        except (HTTPParseError, ValueError):
+            # After an answer that closes the connection the parser refuses
+            # any byte; the answer is whole all the same.
+            ended = self.head_complete and self.message_complete
+            self.surplus = self.surplus or ended
+            self.malformed = not self.surplus
+
     def _on_body(self, buf: bytearray) -> None:
         self._parts += buf
 
+    def _on_header_field(self, string: str) -> None:
+        # Trailers are dropped: nothing reads them, and they may be endless.
+        if not self.head_complete:
+            super()._on_header_field(string)
+
+    def _on_header_value(self, string: str) -> None:
+        if not self.head_complete:
+            super()._on_header_value(string)
+
     def _on_message_begin(self) -> None:
         if self.message_complete and self.head_complete:
             self.surplus = True
