Judge an older version by the bound of the next one, and skip it for a whole newer

Callers: none saw it; the review showed both. With three versions in a row an agent compared an older one with the newest, whose bound comes later, and loaded it for 0.3 s of service; and it loaded a whole older version while the newer was whole too, which takes the worker away twice.

Tests: version 3 named 6.9 s and version 4 0.9 s ago; versions 2 and 3 whole. Both failed before.

--- a/apricotpin/components/installer/versions.py
+++ b/apricotpin/components/installer/versions.py
@@ -224,8 +224,9 @@
         return None
     newer = newest_after(install, parked)
     if newer is not None:
-        worth = is_worth_loading(install, newer, bound_s, now_s)
-        return None if worth else newer
+        following = next_after(install, install, parked)
+        worth = is_worth_loading(install, following, bound_s, now_s)
+        return None if worth and not newer.stock.is_complete else newer
     if not is_stalled(install, now_s):
         return None
     older = older_than(install, parked, view, bound_s, now_s)
@@ -242,6 +243,16 @@
     return parked[max(newer)] if newer else None
 
 
+def next_after(
+    one: Install,
+    install: Install,
+    parked: dict[int, Install],
+) -> Install:
+    """Return the next version after one, whose bound ends it."""
+    known = {**parked, install.version: install}
+    return known[min(version for version in known if version > one.version)]
+
+
 def older_than(
     install: Install,
     parked: dict[int, Install],
@@ -255,7 +266,9 @@
         for version, one in parked.items()
         if view.version < version < install.version
         and one.stock.digests
-        and is_worth_loading(one, install, bound_s, now_s)
+        and is_worth_loading(
+            one, next_after(one, install, parked), bound_s, now_s
+        )
     ]
     return sorted(older, key=lambda one: one.version, reverse=True)
 
--- a/tests/components/installer/decisions.feature
+++ b/tests/components/installer/decisions.feature
@@ -107,6 +107,22 @@
       | 1.5    | unknown               | none    |
       | 1.5    | what the worker has   | none    |
 
+  Scenario Outline: version 2 is whole, version 3 <third> and version 4 was named <ago> s ago: <version> is installed
+    # The bound of the next version ends one, not that of the newest.
+    Given installer with a worker older and 1 of 4 pieces in turn 0
+    When installer has version 2 whole, version 3 named <third> s ago and version 4 <ago> s ago
+    Then installer falls back to <version>
+
+    Examples:
+      | third | ago | version |
+      | 1.5   | 0.9 | none    |
+      | 6.9   | 0.9 | 4       |
+
+  Scenario: a whole version gives way to a newer one that is whole
+    Given installer with a worker older and 1 of 4 pieces in turn 0
+    When installer has versions 2 and 3 whole
+    Then installer falls back to 3
+
   Scenario: a version whose pieces were found at the worker is worth loading
     # Without a fetched piece nothing tells how long one takes.
     Given installer with a worker older and 3 of 4 pieces in turn 0
--- a/tests/steps/installer_steps.py
+++ b/tests/steps/installer_steps.py
@@ -197,6 +197,30 @@
     )
 
 
+@when(
+    'installer has version 2 whole, version 3 named {third:g} s ago '
+    'and version 4 {ago:g} s ago'
+)
+def three_versions(context, third, ago):
+    parked = {3: _install(3, 0), 4: _install(4, 0)}
+    parked[3].declared_s = _BEGUN_S - third
+    parked[4].declared_s = _BEGUN_S - ago
+    context.fallback = versions.better_install(
+        _install(2, len(_PIECES)), parked, context.view, _BOUND_S, _BEGUN_S
+    )
+
+
+@when('installer has versions 2 and 3 whole')
+def two_whole(context):
+    context.fallback = versions.better_install(
+        _install(2, len(_PIECES)),
+        {3: _install(3, len(_PIECES))},
+        context.view,
+        _BOUND_S,
+        _BEGUN_S,
+    )
+
+
 @when('installer has {missing:d} pieces of version 2 to come and {left:g} s')
 def older_to_come(context, missing, left):
     newest = _install(3, 1)
