--- a/apricotpin/components/dispatch/versions.py
+++ b/apricotpin/components/dispatch/versions.py
@@ -49,11 +49,7 @@
 
 def is_behind(state: DispatchState, upstream: Upstream, now_s: float) -> bool:
     """Tell whether a worker holds an older version than the newest declared."""
-    engine = state.engine_of(upstream.entry.service)
-    if engine is None:
-        return False
-    declared = state.targets.get(engine.model, {})
-    return version_of(upstream, engine, now_s) < max(declared, default=0)
+    return behind_s(state, upstream, now_s) is not None
 
 
 def behind_s(
@@ -83,14 +79,8 @@
 
     A request waits at a busy worker for longer than any margin foresees.
     """
-    engine = state.engine_of(upstream.entry.service)
-    if engine is None:
+    known_for_s = behind_s(state, upstream, now_s)
+    if known_for_s is None:
         return None
-    version = version_of(upstream, engine, now_s)
     longest_s = state.bounds.version_s - const.BEGIN_MARGIN_S
-    bounds = [
-        since_s + longest_s
-        for declared, since_s in state.targets.get(engine.model, {}).items()
-        if declared > version
-    ]
-    return min(bounds, default=None)
+    return now_s - known_for_s + longest_s
--- a/apricotpin/components/gateway/application.py
+++ b/apricotpin/components/gateway/application.py
@@ -13,8 +13,8 @@
 from apricotpin.components.gateway import (
     attempts,
     decisions,
-    serving,
     log_lines,
+    serving,
 )
 from apricotpin.components.gateway.callers import (
     ENVIRON_CALL,
--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -28,7 +28,6 @@
 # is taken as cut off once nothing of the version has come for this long.
 SOURCE_STALL_S: Final = 3.0
 MANIFEST_INDEX: Final = -1
-STATUS_OK: Final = 'ok'
 STATUS_NOT_YET: Final = 'not_yet'
 # A piece of 32 KiB takes 69 ms on an agent's link of 3.8 Mbit/s; this pause
 # leaves half of it to the answers of the worker.
--- a/apricotpin/components/installer/sharing.py
+++ b/apricotpin/components/installer/sharing.py
@@ -6,6 +6,7 @@
 from apricotpin.components.installer.events import IsShared
 from apricotpin.const import SERVICE_ENGINE, SERVICE_INSTALLER
 from apricotpin.core import Kernel, Reply
+from apricotpin.helpers.pieces import STATUS_OK
 from apricotpin.messages.pieces import ReadStaged
 from apricotpin.messages.weights import ChunkAnswer, FetchChunk
 
@@ -28,7 +29,7 @@
         if not content:
             reply.ok(ChunkAnswer(const.STATUS_NOT_YET))
             return
-        reply.ok(ChunkAnswer(const.STATUS_OK, content))
+        reply.ok(ChunkAnswer(STATUS_OK, content))
         gevent.sleep(const.SHARING_PAUSE_S)
 
     def _read(self, message: FetchChunk) -> bytes | None:
--- a/apricotpin/components/installer/workers.py
+++ b/apricotpin/components/installer/workers.py
@@ -6,7 +6,7 @@
 
 import gevent
 from loguru import logger
-from result import Err, Ok, Result
+from result import Result
 
 from apricotpin.components.installer import const
 from apricotpin.components.installer.decisions import Load, is_not_yet
@@ -26,9 +26,10 @@
     SERVICE_STORE,
 )
 from apricotpin.core import Kernel
-from apricotpin.errors import ErrorKind, Failure
+from apricotpin.errors import Failure
 from apricotpin.helpers.hashing import matches_sha256
 from apricotpin.helpers.peer_client import PeerClient
+from apricotpin.helpers.pieces import fetch_piece
 from apricotpin.messages.feeds import EntryHost, Feed, ReadSnapshot
 from apricotpin.messages.fleet import CountEntries, FindEntries, LoadReport
 from apricotpin.messages.pieces import (
@@ -113,22 +114,13 @@
     address: str,
 ) -> Result[bytes, Failure]:
     install = order.install
-    asked = client.call(
-        address,
-        'fetch_chunk',
-        FetchChunk(
-            install.model,
-            str(install.version),
-            order.index,
-            order.wait_ms,
-        ),
-        const.FETCH_TIMEOUT_S,
+    wanted = FetchChunk(
+        install.model,
+        str(install.version),
+        order.index,
+        order.wait_ms,
     )
-    if asked.is_err():
-        return asked
-    if asked.ok_value.status != const.STATUS_OK:
-        return Err(Failure(ErrorKind.CHUNK_NOT_YET, asked.ok_value.status))
-    return Ok(asked.ok_value.data)
+    return fetch_piece(client, address, wanted, const.FETCH_TIMEOUT_S)
 
 
 def _scan(kernel: Kernel, order: LoadOrder) -> LoadDone:
--- a/apricotpin/components/relay/const.py
+++ b/apricotpin/components/relay/const.py
@@ -26,7 +26,6 @@
 # Pieces of one index that fail their digest before the manifest is doubted.
 DOUBT_AFTER: Final = 3
 
-STATUS_OK: Final = 'ok'
 STATUS_NOT_YET: Final = 'not_yet'
 STATUS_UNKNOWN: Final = 'unknown_version'
 ORIGIN: Final = ''
--- a/apricotpin/components/relay/service.py
+++ b/apricotpin/components/relay/service.py
@@ -15,6 +15,7 @@
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.hashing import matches_sha256
 from apricotpin.helpers.metrics import count
+from apricotpin.helpers.pieces import STATUS_OK
 from apricotpin.helpers.stripes import stripe_of
 from apricotpin.messages import desired, fleet
 from apricotpin.messages.feeds import EntryHost
@@ -109,7 +110,7 @@
             self._raise_demand(holding, stripe_of(message.index), Demand.ALL)
         content = holding.content.get(message.index)
         if content is not None:
-            reply.ok(ChunkAnswer(const.STATUS_OK, content))
+            reply.ok(ChunkAnswer(STATUS_OK, content))
             return
         waiting = holding.waiting.setdefault(message.index, [])
         waiting.append(reply)
@@ -191,7 +192,7 @@
                 took_ms=int((time.monotonic() - holding.started_s) * 1000),
             ).info('version_held')
         for waiter in holding.waiting.pop(index, []):
-            waiter.ok(ChunkAnswer(const.STATUS_OK, content))
+            waiter.ok(ChunkAnswer(STATUS_OK, content))
 
     def _fetch_led(
         self,
--- a/apricotpin/components/relay/workers.py
+++ b/apricotpin/components/relay/workers.py
@@ -12,6 +12,7 @@
 from apricotpin.core import Kernel
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.peer_client import PeerClient
+from apricotpin.helpers.pieces import fetch_piece
 from apricotpin.messages.pieces import FetchManifest, FetchPiece, PieceManifest
 from apricotpin.messages.weights import FetchChunk
 
@@ -83,19 +84,10 @@
     holding: Holding,
     fetch: Fetch,
 ) -> Result[bytes, Failure]:
-    asked = client.call(
-        fetch.source,
-        'fetch_chunk',
-        FetchChunk(
-            holding.model,
-            str(holding.version),
-            fetch.index,
-            fetch.wait_ms,
-        ),
-        const.FETCH_TIMEOUT_S,
+    wanted = FetchChunk(
+        holding.model,
+        str(holding.version),
+        fetch.index,
+        fetch.wait_ms,
     )
-    if asked.is_err():
-        return asked
-    if asked.ok_value.status != const.STATUS_OK:
-        return Err(Failure(ErrorKind.CHUNK_NOT_YET, asked.ok_value.status))
-    return Ok(asked.ok_value.data)
+    return fetch_piece(client, fetch.source, wanted, const.FETCH_TIMEOUT_S)
