Clear a worker's fault for the others as a request meets it

The log of a failed run shows the retry at the second worker within 1 ms, and that worker still had its fault: the step cleared it in a loop that looks once a ms, while the rows say that only the first worker fails. The product did what it should: two workers reset, two attempts allowed.

The stand-in now calls back as the fault is met, before anything else runs.

--- a/script/standins/platform_worker.py
+++ b/script/standins/platform_worker.py
@@ -2,7 +2,7 @@
 
 import hashlib
 import json
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, Final
 from urllib.parse import parse_qsl
 
@@ -26,11 +26,13 @@
     """Answer requests as a worker does; fault names how the next one ends.
 
     Faults: reset, full, unsealed, crossed, broken_stream, slow, error.
+    on_fault is called as a request meets the fault.
     """
 
     __slots__ = (
         'expected',
         'fault',
+        'on_fault',
         'orders',
         'ran',
         'seen',
@@ -44,6 +46,7 @@
         self.version = version
         self.started_ms = 1
         self.fault = ''
+        self.on_fault: Callable[[], None] | None = None
         self.ran: list[str] = []
         self.seen: list[dict[str, Any]] = []
         self.staged: dict[int, bytes] = {}
@@ -92,6 +95,8 @@
         request_id = environ.get('HTTP_X_ATTEMPT_ID', '')
         fault = self.fault
         self.fault = ''
+        if fault and self.on_fault is not None:
+            self.on_fault()
         self.seen.append(environ)
         headers = [('X-Attempt-Id', request_id), ('X-Server-Seal', 'seal')]
         if environ.get('HTTP_X_EXPECT_INSTANCE') != self.expected:
--- a/tests/steps/platform_fleet_steps.py
+++ b/tests/steps/platform_fleet_steps.py
@@ -51,28 +51,26 @@
 def set_fault(context, fault):
     if fault == 'answers':
         return
-    for worker in context.fleet.workers.values():
+    workers = list(context.fleet.workers.values())
+
+    def clear_all():
+        # Only the first worker that is asked fails. The next one may be asked
+        # within a ms, so nothing may run in between.
+        for worker in workers:
+            worker.fault = ''
+
+    for worker in workers:
         worker.fault = fault
+        worker.on_fault = clear_all
     context.fault = fault
 
 
 @when('platform receives {method} {path} with key {key}')
 def receive(context, method, path, key):
     fleet = context.fleet
-    waiting = list(fleet.workers.values())
-    for worker in waiting:
+    for worker in fleet.workers.values():
         worker.seen.clear()
-    watcher = spawn(_clear_after_first, waiting)
     context.answer = send(context.ip, path, 'req-1', key, method)
-    watcher.kill()
-
-
-def _clear_after_first(workers):
-    # Only the first worker that is asked fails.
-    while not any(worker.seen for worker in workers):
-        sleep(0.001)
-    for worker in workers:
-        worker.fault = ''
 
 
 @then('platform answers {status:d}')
