--- a/apricotpin/components/dispatch/service.py
+++ b/apricotpin/components/dispatch/service.py
@@ -220,6 +220,7 @@
             ticket,
             None if begin_by_s is None else begin_by_s - now_s,
             versions.behind_s(self._state, upstream, now_s),
+            upstream.entry.data_centre,
         )
 
     def _serve_waiters(self) -> None:
--- a/apricotpin/components/follower/events.py
+++ b/apricotpin/components/follower/events.py
@@ -1,5 +1,7 @@
 """Messages within the follower component."""
 
+from typing import Final
+
 from result import Result
 
 from apricotpin.errors import Failure
@@ -7,20 +9,30 @@
 from apricotpin.messages.fleet import ConfigHeard
 
 
+STORE: Final = 'store'
+
+
 class FeedRead:
-    """Carry the outcome of one read; whole holds for a snapshot."""
+    """Carry the outcome of one read; whole holds for a snapshot.
+
+    source is STORE or the address of the entry host that was asked.
+    """
 
-    __slots__ = ('feed', 'page', 'whole')
+    __slots__ = ('feed', 'page', 'source', 'took_s', 'whole')
 
     def __init__(
         self,
         feed: Feed,
         page: Result[FeedPage, Failure],
         whole: bool,
+        source: str,
+        took_s: float,
     ) -> None:
         self.feed = feed
         self.page = page
         self.whole = whole
+        self.source = source
+        self.took_s = took_s
 
 
 class GetPeers:
--- a/apricotpin/components/follower/peers.py
+++ b/apricotpin/components/follower/peers.py
@@ -1,6 +1,7 @@
 """Read the store for other entry hosts, and let them read for this one."""
 
 import time
+from typing import Final
 
 import gevent
 from loguru import logger
@@ -15,10 +16,13 @@
 )
 from apricotpin.const import SERVICE_CONFIGURATION
 from apricotpin.core import Kernel, Reply
-from apricotpin.messages.desired import DesiredStateChanged
+from apricotpin.helpers.metrics import count
+from apricotpin.messages.desired import DesiredState, DesiredStateChanged
 from apricotpin.messages.feeds import Feed, ReadFeed
 from apricotpin.messages.fleet import ConfigHeard, EntryHostsChanged
 
+_MS_PER_S: Final = 1000
+
 
 class PeerReads:
     """Own what was read last and which entry hosts may be asked."""
@@ -35,7 +39,9 @@
         """Keep what a read brought."""
         if message.feed is Feed.OPERATOR:
             self._read_state.failing = message.page.is_err()
+            self._log_failure(message)
         if message.page.is_ok():
+            self._note_copy(message)
             decisions.remember(
                 self._memory,
                 message.feed,
@@ -98,6 +104,34 @@
         """Read a feed for another entry host."""
         self._kernel.spawn(reading.read_for_peer, self._kernel, message, reply)
 
+    def _log_failure(self, message: FeedRead) -> None:
+        if message.page.is_ok():
+            return
+        logger.bind(
+            source=message.source,
+            took_ms=int(message.took_s * _MS_PER_S),
+            known=self._read_state.known,
+            error=repr(message.page.err_value),
+        ).warning('desired_state_not_read')
+
+    def _note_copy(self, message: FeedRead) -> None:
+        """Tell where a copy of a desired state came from, and how late."""
+        for entry in message.page.ok_value.entries:
+            if not isinstance(entry.meaning, DesiredState):
+                continue
+            state, size_bytes = self._read_state, len(entry.content)
+            lacked_s = readers.lacking_for_s(state, time.monotonic())
+            logger.bind(
+                version=entry.meaning.version,
+                known=state.known,
+                source=message.source,
+                size_bytes=size_bytes,
+                took_ms=int(message.took_s * _MS_PER_S),
+                lacked_ms=int(lacked_s * _MS_PER_S),
+            ).info('desired_state_read')
+            place = readers.place_of(state, message.source)
+            count(self._kernel, 'desired_state_bytes_total', place, size_bytes)
+
     def _postpone(self, message: ConfigHeard, pause_s: float) -> None:
         if self._postponed:
             return
--- a/apricotpin/components/follower/readers.py
+++ b/apricotpin/components/follower/readers.py
@@ -1,6 +1,7 @@
 """Decide which entry hosts read the operator's records from the store."""
 
 from apricotpin.components.follower import const
+from apricotpin.components.follower.events import STORE
 from apricotpin.helpers.hashing import rendezvous_order
 from apricotpin.messages.feeds import EntryHost
 
@@ -81,6 +82,18 @@
     )
 
 
+def place_of(state: ReadState, source: str) -> str:
+    """Tell from how far a copy came: store, near or far."""
+    if source == STORE:
+        return STORE
+    near = any(
+        host.peer_address == source
+        and host.data_centre == state.hosts[0].data_centre
+        for host in state.hosts
+    )
+    return 'near' if near else 'far'
+
+
 def pause_left_s(state: ReadState, now_s: float) -> float:
     """Return how long this host waits before it fetches again."""
     return max(0, state.asked_s + const.FETCH_PAUSE_S - now_s)
--- a/apricotpin/components/follower/reading.py
+++ b/apricotpin/components/follower/reading.py
@@ -11,6 +11,7 @@
 
 from apricotpin.components.follower import const
 from apricotpin.components.follower.events import (
+    STORE,
     FeedRead,
     GetPeers,
     GetRecords,
@@ -61,7 +62,10 @@
             continue
         whole = reader.offset < 0
         page = reader.read()
-        kernel.send(SERVICE_CONFIGURATION, FeedRead(feed, page, whole))
+        kernel.send(
+            SERVICE_CONFIGURATION,
+            FeedRead(feed, page, whole, reader.source, reader.took_s),
+        )
         if page.is_ok():
             failures = 0
             gevent.sleep(rest_s)
@@ -87,10 +91,15 @@
         '_kernel',
         '_wait_s',
         'offset',
+        'source',
+        'took_s',
     )
 
     def __init__(self, kernel: Kernel, feed: Feed, wait_s: float) -> None:
         self.offset = -1
+        # Who was asked last, and for how long.
+        self.source = STORE
+        self.took_s: float = 0
         self._kernel = kernel
         self._feed = feed
         self._wait_s = wait_s
@@ -99,14 +108,20 @@
 
     def read(self) -> Result[FeedPage, Failure]:
         """Return the next entries, from the store or through a peer."""
-        page: Result[FeedPage, Failure]
+        began_s = time.monotonic()
+        page = self._advance(self._read())
+        self.took_s = time.monotonic() - began_s
+        return page
+
+    def _read(self) -> Result[FeedPage, Failure]:
         now_s = time.monotonic()
         if now_s >= self._direct_from_s:
+            self.source = STORE
             page = self._read_direct()
             if _is_answered(page):
-                return self._advance(page)
+                return page
             self._direct_from_s = time.monotonic() + const.DIRECT_RETRY_S
-        return self._advance(self._read_through_peers())
+        return self._read_through_peers()
 
     def _advance(
         self,
@@ -127,6 +142,7 @@
         addresses = list(peers.unwrap_or(()))
         random.shuffle(addresses)
         for address in addresses[: const.PEERS_ASKED]:
+            self.source = address
             page = read_peer(
                 self._kernel,
                 self._client,
@@ -201,17 +217,20 @@
     """Fetch the operator's entries from a host that remembers newer ones."""
     client = PeerClient()
     message = ReadFeed(Feed.OPERATOR.value, const.REMEMBERED, 0)
+    began_s = time.monotonic()
     page = read_peer(kernel, client, address, message)
+    took_s = time.monotonic() - began_s
     client.close()
     if page.is_ok():
         kernel.send(
             SERVICE_CONFIGURATION,
-            FeedRead(Feed.OPERATOR, page, whole=True),
+            FeedRead(Feed.OPERATOR, page, True, address, took_s),
         )
     else:
         logger.bind(
             entry_host=address,
             error=repr(page.err_value),
+            took_ms=int(took_s * 1000),
         ).warning('desired_state_not_fetched')
 
 
--- a/apricotpin/components/metrics/const.py
+++ b/apricotpin/components/metrics/const.py
@@ -71,6 +71,13 @@
         KIND_GAUGE,
         'log offset of the configuration in force',
     ),
+    Metric(
+        'desired_state_bytes_total',
+        KIND_COUNTER,
+        'bytes of desired states received: from the store, from a host of '
+        'the own data centre (near) or of another one (far)',
+        'source',
+    ),
     Metric('heartbeats_total', KIND_COUNTER, 'heartbeats received'),
     Metric('hosts_known', KIND_GAUGE, 'hosts in the table, by state', 'state'),
     Metric(
--- a/apricotpin/messages/upstreams.py
+++ b/apricotpin/messages/upstreams.py
@@ -117,6 +117,7 @@
     behind_s is for how long a newer version than the worker's is known, None
     where there is none. What is not sent within begin_within_s, or a stream
     that has not begun by then, must not run; None where any time will do.
+    data_centre is that of the worker.
     """
 
     __slots__ = (
@@ -124,6 +125,7 @@
         'begin_within_s',
         'behind_s',
         'connection',
+        'data_centre',
         'instance_id',
         'load',
         'load_age_s',
@@ -142,8 +144,10 @@
         ticket: str,
         begin_within_s: float | None = None,
         behind_s: float | None = None,
+        data_centre: str = '',
     ) -> None:
         self.ticket = ticket
+        self.data_centre = data_centre
         self.begin_within_s = begin_within_s
         self.behind_s = behind_s
         self.instance_id = instance_id
--- a/tests/steps/follower_steps.py
+++ b/tests/steps/follower_steps.py
@@ -6,7 +6,7 @@
 from result import Ok
 
 from apricotpin.components.follower import decisions
-from apricotpin.components.follower.events import FeedRead
+from apricotpin.components.follower.events import STORE, FeedRead
 from apricotpin.components.follower.service import FollowerService
 from apricotpin.core import Kernel, Reply
 from apricotpin.messages.desired import (
@@ -90,7 +90,9 @@
     entry = FeedEntry('version/m', ModelVersion('m', version))
     page = Ok(FeedPage([entry], 1))
     whole = source == 'a snapshot'
-    context.follower.take_read(FeedRead(Feed.OPERATOR, page, whole), Reply())
+    context.follower.take_read(
+        FeedRead(Feed.OPERATOR, page, whole, STORE, 0), Reply()
+    )
 
 
 @then('follower announced that {kind} {version:d} is known for {age}')
