Add failing tests for copies of the desired state between hosts

On this code a copy that takes 0.6 s is asked for a second time while the first is on its way, one that takes 1.2 s is given up after 0.7 s of silence and asked for anew without end, and a state of 1,800 routes goes to each host as 439 KB.

--- /dev/null
+++ b/tests/steps/follower_copies_steps.py
@@ -0,0 +1,203 @@
+"""Steps for copies of the desired state between hosts."""
+
+import json
+import random
+
+from behave import given, then, when
+
+from gevent import sleep, spawn_later
+from gevent.server import StreamServer
+from thriftpy2.utils import serialize
+
+from apricotpin.components import follower as follower_component
+from apricotpin.components.follower import decisions
+from apricotpin.components.peer_api.dispatch import (
+    make_connection_handler,
+    route_table,
+)
+from apricotpin.const import SERVICE_CONFIGURATION, SERVICE_STORE
+from apricotpin.core import Kernel, Started
+from apricotpin.helpers.wire import to_wire
+from apricotpin.messages.desired import DesiredStateChanged
+from apricotpin.messages.feeds import (
+    DecodeRecords,
+    EntryHost,
+    Feed,
+    FeedEntry,
+    FeedPage,
+    ReadChanges,
+    ReadFeed,
+    ReadSnapshot,
+)
+from apricotpin.messages.fleet import ConfigHeard, EntryHostsChanged
+from apricotpin.platform import operator_documents
+
+_KNOWN = 7
+_NEWER = 8
+_PERIOD_S = 0.1
+# Longer than an answer that was asked for last takes.
+_SETTLE_S = 0.3
+_SEED = 18
+_LETTERS = 'abcdefghijklmnopqrstuvwxyz0123456789'
+
+
+def _document(version, count):
+    draw = random.Random(_SEED)
+
+    def name():
+        return ''.join(draw.choices(_LETTERS, k=7))
+
+    routes = [
+        {
+            'name': f'r-{name()}',
+            'hostname': f'{name()[:4]}{number % 90}.example',
+            'path_prefix': f'/{name()}/{name()[:4]}/',
+            'route_type': 'streaming',
+            'service': 'model',
+            'timeout_ms': 6000,
+            'goal_ms': 400,
+            'gap_target_ms': 300,
+            'max_attempts': 2,
+            'priority': 1,
+            'resumable': True,
+        }
+        for number in range(count)
+    ]
+    return json.dumps(
+        {'version': version, 'routes': routes, 'services': []},
+    ).encode()
+
+
+def _page(version):
+    content = _document(version, 3)
+    entry = operator_documents.operator_entry('config', content)
+    entry.content = content
+    return FeedPage([entry], version)
+
+
+def _decode(message, reply):
+    entries = []
+    for record in message.records.records:
+        entry = operator_documents.operator_entry(record.key, record.content)
+        entry.content = record.content
+        entries.append(entry)
+    reply.ok(FeedPage(entries, message.records.next_offset))
+
+
+class _World:
+    """Hold a follower, and another host that hands out a newer state."""
+
+    def __init__(self, takes_s):
+        self.asked = 0
+        self.versions = []
+        self._takes_s = takes_s
+        self.other = Kernel('other')
+        self.other.register(
+            SERVICE_CONFIGURATION,
+            {ReadFeed: self._hand_out},
+        )
+        serve = make_connection_handler(self.other, route_table())
+        self.server = StreamServer(('127.0.0.1', 0), serve)
+        self.server.start()
+        self.address = f'127.0.0.1:{self.server.server_port}'
+        self.kernel = Kernel('own')
+        self.kernel.register(
+            SERVICE_STORE,
+            {
+                ReadSnapshot: self._read,
+                ReadChanges: self._stay_silent,
+                DecodeRecords: _decode,
+            },
+        )
+        self.kernel.register(
+            'watch',
+            {DesiredStateChanged: self._note_version},
+        )
+        follower_component.setup(self.kernel, None)
+        self.kernel.publish(EntryHostsChanged(self._hosts()))
+        self.kernel.publish(Started())
+
+    def hear(self):
+        """Let a greeting of the other host arrive."""
+        self.kernel.send(
+            SERVICE_CONFIGURATION,
+            ConfigHeard(self.address, _NEWER),
+        )
+
+    def close(self):
+        """End what the scenario started."""
+        self.kernel.stop()
+        self.other.stop()
+        self.server.stop()
+
+    def _hosts(self):
+        return (
+            EntryHost('own', '127.0.0.1:1', 'a'),
+            EntryHost('other', self.address, 'a'),
+        )
+
+    def _hand_out(self, _message, reply):
+        self.asked += 1
+        spawn_later(self._takes_s, self._answer, reply)
+
+    def _answer(self, reply):
+        memory = decisions.Memory()
+        decisions.remember(memory, Feed.OPERATOR, _page(_NEWER), whole=True)
+        reply.ok(decisions.recall(memory, Feed.OPERATOR))
+
+    def _read(self, message, reply):
+        if message.feed is Feed.OPERATOR:
+            reply.ok(_page(_KNOWN))
+        else:
+            reply.ok(FeedPage([], 0))
+
+    def _stay_silent(self, message, reply):
+        if message.feed is not Feed.OPERATOR:
+            reply.ok(FeedPage([], 0))
+
+    def _note_version(self, message, reply):
+        self.versions.append(message.state.version)
+        reply.ok()
+
+
+@given('follower runs on a host beside a host that answers after {takes:g} s')
+def beside(context, takes):
+    context.world = _World(takes)
+    context.cleanups = [context.world.close]
+    sleep(_SETTLE_S)
+    assert context.world.versions == [_KNOWN], context.world.versions
+
+
+@when(
+    'follower hears every {period:g} s for {total:g} s of a newer desired '
+    'state there'
+)
+def hears(context, period, total):
+    for _ in range(round(total / period)):
+        context.world.hear()
+        sleep(period)
+
+
+@then('follower has the newer desired state')
+def has_newer(context):
+    assert context.world.versions[-1] == _NEWER, context.world.versions
+
+
+@then('follower asked for {count:d} copy')
+def asked_for_copies(context, count):
+    assert context.world.asked == count, context.world.asked
+
+
+@given('follower remembers a desired state of {routes:d} routes')
+def remembers_state(context, routes):
+    content = _document(_NEWER, routes)
+    context.memory = decisions.Memory()
+    page = FeedPage([FeedEntry('config', None, content=content)], 1)
+    decisions.remember(context.memory, Feed.OPERATOR, page, whole=True)
+
+
+@then('follower hands it out in at most {kb:d} KB')
+def hands_out(context, kb):
+    records = decisions.recall(context.memory, Feed.OPERATOR)
+    size_bytes = len(serialize(to_wire(records)))
+    assert size_bytes <= kb * 1000, size_bytes
