Send nothing over a way between data centres that is longer than usual

Greetings between entry hosts carry the sender's time and what the sender measured of each data centre, so each host knows by how much the way to another data centre and back takes longer than usual, whatever their clocks say. Above 0.3 s nothing is sent there: a request waits for a worker nearby as it does when all are full, or is refused at once with a time to come back. way_slow and way_usual tell when that changes.

--- a/apricotpin/components/dispatch/beliefs.py
+++ b/apricotpin/components/dispatch/beliefs.py
@@ -1,6 +1,8 @@
 """Take what other services announce into the state of dispatch."""
 
-from apricotpin.components.dispatch import budget
+from loguru import logger
+
+from apricotpin.components.dispatch import budget, const
 from apricotpin.components.dispatch.state import DispatchState
 from apricotpin.core import Reply
 from apricotpin.helpers import clocks
@@ -51,6 +53,20 @@
         )
         reply.ok()
 
+    def note_ways(self, message: fleet.WaysMeasured, reply: Reply) -> None:
+        """Learn over which ways requests may be sent."""
+        known_s = self._state.ways_s
+        self._state.ways_s = message.delays_s
+        for place, delay_s in message.delays_s.items():
+            was_slow = known_s.get(place, 0) > const.WAY_DELAY_MAX_S
+            is_slow = delay_s > const.WAY_DELAY_MAX_S
+            if was_slow != is_slow:
+                logger.bind(
+                    data_centre=place,
+                    delay_ms=int(delay_s * 1000),
+                ).info('way_slow' if is_slow else 'way_usual')
+        reply.ok()
+
     def note_request(
         self,
         message: upstreams.NoteRequest,
--- a/apricotpin/components/dispatch/decisions.py
+++ b/apricotpin/components/dispatch/decisions.py
@@ -44,7 +44,8 @@
     free = [
         upstream
         for upstream in serving
-        if has_room(
+        if is_way_open(state, upstream)
+        and has_room(
             upstream,
             is_model,
             now_s,
@@ -54,7 +55,7 @@
         and may_begin(state, upstream, old_per_s, now_s)
     ]
     if not free:
-        detail = f'{len(serving)} workers of {service} are full'
+        detail = why_full(state, service, serving)
         return Err(Failure(ErrorKind.OVERLOADED, detail))
     return Ok(
         min(
@@ -64,6 +65,19 @@
     )
 
 
+def why_full(
+    state: DispatchState,
+    service: str,
+    serving: list[Upstream],
+) -> str:
+    """Say why none of the workers that may serve is sent anything."""
+    cut = sum(not is_way_open(state, upstream) for upstream in serving)
+    return (
+        f'{len(serving) - cut} workers of {service} are full, '
+        f'{cut} are behind a slow way'
+    )
+
+
 def why_none(state: DispatchState, service: str, now_s: float) -> str:
     """Say why no worker of a service may serve, by how many for what."""
     engine = state.engine_of(service)
@@ -126,6 +140,12 @@
     return load_of(upstream, now_s) + unseen < slots + ahead
 
 
+def is_way_open(state: DispatchState, upstream: Upstream) -> bool:
+    """Tell whether what is sent to an upstream gets there soon."""
+    delay_s = state.ways_s.get(upstream.entry.data_centre, 0)
+    return delay_s <= const.WAY_DELAY_MAX_S
+
+
 def may_begin(
     state: DispatchState,
     upstream: Upstream,
--- a/apricotpin/components/presence/entry.py
+++ b/apricotpin/components/presence/entry.py
@@ -5,7 +5,7 @@
 from gevent import sleep, socket
 from loguru import logger
 
-from apricotpin.components.presence import const, decisions
+from apricotpin.components.presence import const, decisions, ways
 from apricotpin.components.presence.endpoint import (
     Received,
     send,
@@ -17,12 +17,16 @@
 )
 from apricotpin.const import SERVICE_CONFIGURATION, SERVICE_STORE
 from apricotpin.core import Kernel, Reply
+from apricotpin.helpers import clocks
 from apricotpin.helpers.addresses import Address
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages import desired, fleet, upstreams
 from apricotpin.messages.feeds import EntryHost, RecordHost
 
 
+_MS_PER_S = 1000
+
+
 class Tick:
     """Send what is due."""
 
@@ -45,6 +49,7 @@
         '_socket',
         '_ticks',
         '_versions',
+        '_ways',
     )
 
     def __init__(
@@ -63,6 +68,7 @@
         self._listed: dict[str, upstreams.UpstreamEntry] = {}
         self._models: dict[str, str] = {}
         self._versions = DeclaredVersions()
+        self._ways: dict[str, ways.Heard] = {}
         self._config_version = 0
         self._resumable: set[str] = set()
         self._ticks = 0
@@ -144,6 +150,10 @@
         self._greet_agents(near_only=not far)
         if far:
             self._greet_entries()
+            delays_s = ways.both_ways(
+                self._ways, self._own.data_centre, clocks.now_s()
+            )
+            self._kernel.publish(fleet.WaysMeasured(delays_s))
         now_s = time.monotonic()
         decisions.drop_silent(self._agents, const.AGENT_SILENT_S, now_s)
         gone = decisions.drop_silent(
@@ -152,6 +162,7 @@
             now_s,
         )
         for host_id in gone:
+            self._ways.pop(host_id, None)
             logger.bind(entry_host=host_id).info('entry_host_silent')
         if gone:
             self._announce_entries()
@@ -159,6 +170,7 @@
 
     def _hear_entry(self, hello: fleet.EntryHello) -> None:
         known = self._entries.get(hello.host_id)
+        ways.note_greeting(self._ways, hello, clocks.now_s())
         self._entries[hello.host_id] = decisions.Seen(hello, time.monotonic())
         if known is None:
             logger.bind(entry_host=hello.host_id).info('entry_host_heard')
@@ -253,6 +265,7 @@
         return report.installing or self._versions.newest(model)
 
     def _greet_entry(self, *addresses: str) -> None:
+        now_s = clocks.now_s()
         hello = fleet.EntryHello(
             self._own.host_id,
             self._own.peer_address,
@@ -260,6 +273,8 @@
             self._versions.targets(self._models),
             config_version=self._config_version,
             earlier=self._versions.earlier(self._models),
+            sent_ms=int(now_s * _MS_PER_S),
+            ways=ways.as_told(ways.delays_from(self._ways, now_s)),
         )
         send_all(self._socket, addresses, hello)
 
--- a/apricotpin/messages/fleet.py
+++ b/apricotpin/messages/fleet.py
@@ -22,12 +22,24 @@
         self.known_for_ms = known_for_ms
 
 
+class WayDelay:
+    """Tell how much longer than usual datagrams from a data centre take."""
+
+    __slots__ = ('data_centre', 'delay_ms')
+
+    def __init__(self, data_centre: str, delay_ms: int) -> None:
+        self.data_centre = data_centre
+        self.delay_ms = delay_ms
+
+
 class EntryHello:
     """Tell agents and entry hosts where this entry host is reached.
 
     The workers of a data centre and service switch to a new version in
     groups: group is that of the receiver's worker, and turn the number of
     workers in earlier groups that have not switched to turn_version yet.
+    sent_ms is of the sender's clock that counts suspensions, 0 if it is not
+    told, and ways what the sender measured of datagrams that reached it.
     """
 
     __slots__ = (
@@ -38,9 +50,11 @@
         'host_id',
         'may_cut',
         'peer_address',
+        'sent_ms',
         'targets',
         'turn',
         'turn_version',
+        'ways',
     )
 
     def __init__(
@@ -55,7 +69,11 @@
         may_cut: bool = False,
         turn_version: int = 0,
         earlier: list[WeightsTarget] | None = None,
+        sent_ms: int = 0,
+        ways: list[WayDelay] | None = None,
     ) -> None:
+        self.sent_ms = sent_ms
+        self.ways = ways or []
         # Versions that the targets replaced; they bound those before them.
         self.earlier = earlier or []
         self.host_id = host_id
@@ -172,6 +190,18 @@
         self.hosts = hosts
 
 
+class WaysMeasured:
+    """Announce how much longer than usual the way to and from others takes.
+
+    delays_s maps data centres to the delay of both directions together.
+    """
+
+    __slots__ = ('delays_s',)
+
+    def __init__(self, delays_s: dict[str, float]) -> None:
+        self.delays_s = delays_s
+
+
 class FindEntries:
     """Ask the presence service to report to recorded entry hosts."""
 
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -140,6 +140,11 @@
   4: i64 known_for_ms
 }
 
+struct WayDelay {
+  1: string data_centre
+  2: i32 delay_ms
+}
+
 // The datagrams below are binary-encoded, one in each packet.
 struct EntryHello {
   1: string host_id
@@ -152,6 +157,8 @@
   8: bool may_cut
   9: i64 turn_version
   10: list<WeightsTarget> earlier
+  11: i64 sent_ms
+  12: list<WayDelay> ways
 }
 
 struct LoadReport {
--- a/tests/components/dispatch/choice.feature
+++ b/tests/components/dispatch/choice.feature
@@ -2,6 +2,21 @@
   Work must not go to a worker that leaves, holds no allowed version or was
   replaced, and the load must stay even over those that remain.
 
+  Scenario Outline: a worker that is <first> and one that is far, <delay> s further than usual: <chosen>
+    # A request waits in a full link; closing its connection does not take it
+    # back, and it reached the worker over half a second after its caller left.
+    Given dispatch knows a worker that is <first> and one that is far
+    And dispatch measures that the way elsewhere takes <delay> s longer than usual
+    When dispatch chooses
+    Then dispatch's choice is <chosen>
+
+    Examples:
+      | first | delay | chosen     |
+      | full  | 0.0   | made       |
+      | full  | 0.25  | made       |
+      | full  | 0.35  | overloaded |
+      | idle  | 0.35  | made       |
+
   Scenario Outline: a worker that is <property> is <chosen>
     Given dispatch knows a worker that is <property>
     When dispatch chooses
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -19,7 +19,7 @@
     ModelVersionChanged,
     ServiceSpec,
 )
-from apricotpin.messages.fleet import LoadReport
+from apricotpin.messages.fleet import LoadReport, WaysMeasured
 from apricotpin.messages.upstreams import (
     CancelPick,
     LoadedLayers,
@@ -137,6 +137,14 @@
     )
 
 
+@given(
+    'dispatch measures that the way elsewhere takes {delay:g} s longer than '
+    'usual'
+)
+def measure_way(context, delay):
+    Beliefs(context.state).note_ways(WaysMeasured({'far': delay}), Reply())
+
+
 @when('dispatch chooses')
 def choose(context):
     context.random = random.Random(1).random
