Let a stream that broke off go on over a slow way

With all workers nearby unusable and the way elsewhere slow, a stream that had begun was broken off for good, which serves its caller worse than a pause.

--- a/apricotpin/components/dispatch/decisions.py
+++ b/apricotpin/components/dispatch/decisions.py
@@ -44,7 +44,7 @@
     free = [
         upstream
         for upstream in serving
-        if is_way_open(state, upstream)
+        if (urgent or is_way_open(state, upstream))
         and has_room(
             upstream,
             is_model,
--- a/tests/components/dispatch/choice.feature
+++ b/tests/components/dispatch/choice.feature
@@ -7,15 +7,18 @@
     # back, and it reached the worker over half a second after its caller left.
     Given dispatch knows a worker that is <first> and one that is far
     And dispatch measures that the way elsewhere takes <delay> s longer than usual
-    When dispatch chooses
+    When dispatch chooses for a request that is <kind>
     Then dispatch's choice is <chosen>
 
     Examples:
-      | first | delay | chosen     |
-      | full  | 0.0   | made       |
-      | full  | 0.25  | made       |
-      | full  | 0.35  | overloaded |
-      | idle  | 0.35  | made       |
+      | first    | delay | kind    | chosen     |
+      | full     | 0.0   | new     | made       |
+      | full     | 0.25  | new     | made       |
+      | full     | 0.35  | new     | overloaded |
+      | idle     | 0.35  | new     | made       |
+      | draining | 0.35  | new     | overloaded |
+      # What has begun is better late than broken off.
+      | draining | 0.35  | resumed | made       |
 
   Scenario Outline: a worker that is <property> is <chosen>
     Given dispatch knows a worker that is <property>
