End each fetch of a desired state, whatever the other host answers

An answer without records ended the greenlet that fetched it before it said so, and after two of these the host asked nobody any more. Found by reading the change; follower/copies.feature, "is without records", failed before.

--- a/apricotpin/components/follower/reading.py
+++ b/apricotpin/components/follower/reading.py
@@ -195,7 +195,8 @@
             FeedRecord(record.key, unpack(record.content))
             for record in told.records
         ]
-    except ValueError as error:
+    except (TypeError, ValueError) as error:
+        # A field that is left out on the wire is None.
         detail = f'read_feed at {address}: {error}'
         return Err(Failure(ErrorKind.PEER_UNAVAILABLE, detail))
     wanted = DecodeRecords(
@@ -231,6 +232,14 @@
 
 def fetch_from_peer(kernel: Kernel, address: str) -> None:
     """Fetch the operator's entries from a host that remembers newer ones."""
+    try:
+        _fetch(kernel, address)
+    finally:
+        # A fetch that never ended would stop this host from asking anybody.
+        kernel.send(SERVICE_CONFIGURATION, FetchEnded(address))
+
+
+def _fetch(kernel: Kernel, address: str) -> None:
     began_s = time.monotonic()
     page = _remembered_by(kernel, address)
     took_s = time.monotonic() - began_s
@@ -245,7 +254,6 @@
             error=repr(page.err_value),
             took_ms=int(took_s * 1000),
         ).warning('desired_state_not_fetched')
-    kernel.send(SERVICE_CONFIGURATION, FetchEnded(address))
 
 
 def _remembered_by(kernel: Kernel, address: str) -> Result[FeedPage, Failure]:
--- a/tests/components/follower/copies.feature
+++ b/tests/components/follower/copies.feature
@@ -30,6 +30,18 @@
       | 0.6   |
       | 60    |
 
+  Scenario Outline: a host whose answer <answer> does not keep back what another has
+    # Two questions that never end would stop this host from asking anybody.
+    Given follower runs beside 2 hosts whose answer <answer> and one that is well
+    When follower hears every 0.1 s for 2 s of a newer desired state there
+    Then follower has the newer desired state
+
+    Examples:
+      | answer              |
+      | is not compressed   |
+      | is cut off          |
+      | is without records  |
+
   Scenario Outline: a desired state of <routes> routes crosses a link in at most <kb> KB
     # 13 hosts of a data centre that all take one over a link of 1.69 MB/s
     # between two regions then need 0.7 s of it.
--- a/tests/steps/follower_copies_steps.py
+++ b/tests/steps/follower_copies_steps.py
@@ -87,9 +87,10 @@
 class _Other:
     """Hold another host, which hands out a newer state."""
 
-    def __init__(self, takes_s):
+    def __init__(self, takes_s, spoil=None):
         self.asked = 0
         self._takes_s = takes_s
+        self._spoil = spoil
         self._kernel = Kernel('other')
         self._kernel.register(
             SERVICE_CONFIGURATION,
@@ -112,15 +113,37 @@
     def _answer(self, reply):
         memory = decisions.Memory()
         decisions.remember(memory, Feed.OPERATOR, _page(_NEWER), whole=True)
-        reply.ok(decisions.recall(memory, Feed.OPERATOR))
+        records = decisions.recall(memory, Feed.OPERATOR)
+        if self._spoil is not None:
+            self._spoil(records)
+        reply.ok(records)
+
+
+def _leave_unpacked(records):
+    records.records[0].content = _document(_NEWER, 3)
+
+
+def _cut_off(records):
+    records.records[0].content = records.records[0].content[:-9]
+
+
+def _leave_out(records):
+    records.records = None
+
+
+_SPOILT = {
+    'is not compressed': _leave_unpacked,
+    'is cut off': _cut_off,
+    'is without records': _leave_out,
+}
 
 
 class _World:
     """Hold a follower, and other hosts that hand out a newer state."""
 
-    def __init__(self, *takes_s):
+    def __init__(self, *others):
         self.versions = []
-        self.others = [_Other(one_s) for one_s in takes_s]
+        self.others = others
         self.kernel = Kernel('own')
         self.kernel.register(
             SERVICE_STORE,
@@ -192,7 +215,20 @@
 
 
 def _start(context, *takes_s):
-    context.world = _World(*takes_s)
+    _start_world(context, [_Other(one_s) for one_s in takes_s])
+
+
+@given(
+    'follower runs beside {count:d} hosts whose answer {answer} and one that '
+    'is well'
+)
+def beside_spoilt(context, count, answer):
+    spoilt = [_Other(0, _SPOILT[answer]) for _ in range(count)]
+    _start_world(context, [*spoilt, _Other(0)])
+
+
+def _start_world(context, others):
+    context.world = _World(*others)
     context.cleanups = [context.world.close]
     sleep(_SETTLE_S)
     assert context.world.versions == [_KNOWN], context.world.versions
