--- a/apricotpin/components/follower/reading.py
+++ b/apricotpin/components/follower/reading.py
@@ -232,11 +232,14 @@
 
 def fetch_from_peer(kernel: Kernel, address: str) -> None:
     """Fetch the operator's entries from a host that remembers newer ones."""
-    try:
-        _fetch(kernel, address)
-    finally:
+    with contextlib.ExitStack() as ending:
         # A fetch that never ended would stop this host from asking anybody.
-        kernel.send(SERVICE_CONFIGURATION, FetchEnded(address))
+        ending.callback(
+            kernel.send,
+            SERVICE_CONFIGURATION,
+            FetchEnded(address),
+        )
+        _fetch(kernel, address)
 
 
 def _fetch(kernel: Kernel, address: str) -> None:
