--- a/apricotpin/components/dispatch/__init__.py
+++ b/apricotpin/components/dispatch/__init__.py
@@ -32,7 +32,7 @@
             upstreams.UpstreamUnlisted: service.unlist_upstream,
             fleet.LoadReport: service.take_report,
             fleet.EntryHostsChanged: beliefs.count_hosts,
-            fleet.WaysMeasured: beliefs.note_ways,
+            fleet.PathsMeasured: beliefs.note_paths,
             upstreams.NoteRequest: beliefs.note_request,
             upstreams.PickUpstream: service.pick,
             upstreams.AttemptDone: service.end_attempt,
--- a/apricotpin/components/dispatch/beliefs.py
+++ b/apricotpin/components/dispatch/beliefs.py
@@ -53,18 +53,18 @@
         )
         reply.ok()
 
-    def note_ways(self, message: fleet.WaysMeasured, reply: Reply) -> None:
-        """Learn over which ways requests may be sent."""
-        known_s = self._state.ways_s
-        self._state.ways_s = message.delays_s
+    def note_paths(self, message: fleet.PathsMeasured, reply: Reply) -> None:
+        """Learn over which paths requests may be sent."""
+        known_s = self._state.paths_s
+        self._state.paths_s = message.delays_s
         for place, delay_s in message.delays_s.items():
-            was_slow = known_s.get(place, 0) > const.WAY_DELAY_MAX_S
-            is_slow = delay_s > const.WAY_DELAY_MAX_S
+            was_slow = known_s.get(place, 0) > const.PATH_DELAY_MAX_S
+            is_slow = delay_s > const.PATH_DELAY_MAX_S
             if was_slow != is_slow:
                 logger.bind(
                     data_centre=place,
                     delay_ms=int(delay_s * 1000),
-                ).info('way_slow' if is_slow else 'way_usual')
+                ).info('path_slow' if is_slow else 'path_usual')
         reply.ok()
 
     def note_request(
--- a/apricotpin/components/dispatch/const.py
+++ b/apricotpin/components/dispatch/const.py
@@ -44,10 +44,10 @@
 # The own rate of requests, by which that of other hosts is estimated, is
 # taken over this time.
 RATE_WINDOW_S: Final = 2
-# Nothing is sent to a data centre when the way there and back takes longer
+# Nothing is sent to a data centre when the path there and back takes longer
 # than usual by this. What waits in a link can't be taken back, and half a
 # second after its caller has left no request may reach a worker.
-WAY_DELAY_MAX_S: Final = 0.3
+PATH_DELAY_MAX_S: Final = 0.3
 # Part of the shared retry budget that one host may use of its even share,
 # for clocks and host lists that disagree.
 BUDGET_SHARE: Final = 0.7
--- a/apricotpin/components/dispatch/decisions.py
+++ b/apricotpin/components/dispatch/decisions.py
@@ -44,7 +44,7 @@
     free = [
         upstream
         for upstream in serving
-        if (urgent or is_way_open(state, upstream))
+        if (urgent or is_path_open(state, upstream))
         and has_room(
             upstream,
             is_model,
@@ -71,10 +71,10 @@
     serving: list[Upstream],
 ) -> str:
     """Say why none of the workers that may serve is sent anything."""
-    cut = sum(not is_way_open(state, upstream) for upstream in serving)
+    cut = sum(not is_path_open(state, upstream) for upstream in serving)
     return (
         f'{len(serving) - cut} workers of {service} are full, '
-        f'{cut} are behind a slow way'
+        f'{cut} are behind a slow path'
     )
 
 
@@ -140,10 +140,10 @@
     return load_of(upstream, now_s) + unseen < slots + ahead
 
 
-def is_way_open(state: DispatchState, upstream: Upstream) -> bool:
+def is_path_open(state: DispatchState, upstream: Upstream) -> bool:
     """Tell whether what is sent to an upstream gets there soon."""
-    delay_s = state.ways_s.get(upstream.entry.data_centre, 0)
-    return delay_s <= const.WAY_DELAY_MAX_S
+    delay_s = state.paths_s.get(upstream.entry.data_centre, 0)
+    return delay_s <= const.PATH_DELAY_MAX_S
 
 
 def may_begin(
--- a/apricotpin/components/dispatch/state.py
+++ b/apricotpin/components/dispatch/state.py
@@ -84,7 +84,7 @@
         'services',
         'targets',
         'upstreams',
-        'ways_s',
+        'paths_s',
         '_picked',
         '_windows',
     )
@@ -99,8 +99,8 @@
         # When each declared version of a model became known.
         self.targets: dict[str, dict[int, float]] = {}
         self.upstreams: dict[str, Upstream] = {}
-        # How much longer than usual the way to a data centre and back takes.
-        self.ways_s: dict[str, float] = {}
+        # How much longer than usual the path to a data centre and back takes.
+        self.paths_s: dict[str, float] = {}
         self._windows: dict[str, Window] = {}
         # Upstreams by the tickets of attempts in progress.
         self._picked: dict[str, Upstream] = {}
--- a/apricotpin/components/follower/const.py
+++ b/apricotpin/components/follower/const.py
@@ -22,8 +22,9 @@
 LAPSE_S: Final = 2.5
 LAPSE_CHECK_S: Final = 0.5
 # Hosts of a data centre that read the operator's records from the store; the
-# others take them from these. The store does not compress: at 1,800 routes
-# each reader takes 230 KB/s of the 1.69 MB/s between two regions.
+# others take them from these. The store does not compress: with 1,800 routes
+# and a change each 1.6 s, each reader takes 230 KB/s of the 1.69 MB/s between
+# two regions.
 READERS: Final = 2
 # How often a host that does not read checks whether it has become one that
 # does: well within the 2 s in which a desired state has to be in force.
@@ -42,13 +43,13 @@
 # the data centre after the other.
 READ_AFTER_S: Final = 1.5
 READ_STEP_S: Final = 0.5
-# A copy is bounded by this time in all. A host that is slow to answer is not
-# asked again meanwhile, but another one is, after the second time.
+# A fetch is given up after FETCH_S in all. Once one has taken FETCH_SECOND_S,
+# another host is asked as well.
 FETCH_S: Final = 2.0
 FETCH_SECOND_S: Final = 0.7
 FETCHES_MAX: Final = 2
-# How often a host that lacks a desired state looks for one to ask, since
-# greetings that repeat come three times in that time at most, or get lost.
+# How often a host that lacks a desired state looks for one to ask. Greetings
+# that name it are repeated each 0.9 s and may be lost.
 BEHIND_CHECK_S: Final = 0.15
 # After the store turned this host away, peers are asked first for this time.
 DIRECT_RETRY_S: Final = 1.5
--- a/apricotpin/components/follower/packing.py
+++ b/apricotpin/components/follower/packing.py
@@ -6,7 +6,7 @@
 # Level 1 makes 44 KB of a desired state of 1,800 routes (439 KB) in 2 ms;
 # level 9 makes 41 KB of it in 9 ms.
 _LEVEL: Final = 1
-# The store's own pages hold 1 MB; a record that unpacks to more is none.
+# As large as the largest answer that is taken from the store.
 RECORD_MAX_BYTES: Final = 8388608
 
 
--- a/apricotpin/components/follower/readers.py
+++ b/apricotpin/components/follower/readers.py
@@ -101,8 +101,8 @@
     """Tell whether to take a newer desired state from a host.
 
     All hosts hear of a change at once, and most are about to read it: if each
-    took it from another one as well, the copies would fill their links. The
-    fewer the way is shared by, the sooner it is used.
+    took it from another one as well, the copies would fill their links. Links
+    within a data centre are used before those between two.
     """
     if not state.lacking:
         return False
--- a/apricotpin/components/presence/const.py
+++ b/apricotpin/components/presence/const.py
@@ -16,10 +16,10 @@
 # gets two in 0.45 s, and one in another data centre of 25 hosts two in 1.3 s.
 NEAR_RECEIVERS: Final = 6
 FAR_RECEIVERS: Final = 4
-# Delays of ways are taken from the greetings of this time, of which each host
+# Delays of paths are taken from the greetings of this time, of which each host
 # sends one or two, against the fastest of the longer time.
-WAY_RECENT_S: Final = 1.5
-WAY_BASE_S: Final = 30.0
+PATH_RECENT_S: Final = 1.5
+PATH_BASE_S: Final = 30.0
 STORE_TIMEOUT_S: Final = 3.0
 # A record of this host is written again until it succeeds.
 RECORD_RETRY_S: Final = 0.5
--- a/apricotpin/components/presence/entry.py
+++ b/apricotpin/components/presence/entry.py
@@ -5,7 +5,7 @@
 from gevent import sleep, socket
 from loguru import logger
 
-from apricotpin.components.presence import const, decisions, ways
+from apricotpin.components.presence import const, decisions, paths
 from apricotpin.components.presence.endpoint import (
     Received,
     send,
@@ -49,7 +49,7 @@
         '_socket',
         '_ticks',
         '_versions',
-        '_ways',
+        '_paths',
     )
 
     def __init__(
@@ -68,7 +68,7 @@
         self._listed: dict[str, upstreams.UpstreamEntry] = {}
         self._models: dict[str, str] = {}
         self._versions = DeclaredVersions()
-        self._ways: dict[str, ways.Heard] = {}
+        self._paths: dict[str, paths.Heard] = {}
         self._config_version = 0
         self._resumable: set[str] = set()
         self._ticks = 0
@@ -150,10 +150,10 @@
         self._greet_agents(near_only=not far)
         if far:
             self._greet_entries()
-            delays_s = ways.both_ways(
-                self._ways, self._own.data_centre, clocks.now_s()
+            delays_s = paths.round_trips(
+                self._paths, self._own.data_centre, clocks.now_s()
             )
-            self._kernel.publish(fleet.WaysMeasured(delays_s))
+            self._kernel.publish(fleet.PathsMeasured(delays_s))
         now_s = time.monotonic()
         decisions.drop_silent(self._agents, const.AGENT_SILENT_S, now_s)
         gone = decisions.drop_silent(
@@ -162,7 +162,7 @@
             now_s,
         )
         for host_id in gone:
-            self._ways.pop(host_id, None)
+            self._paths.pop(host_id, None)
             logger.bind(entry_host=host_id).info('entry_host_silent')
         if gone:
             self._announce_entries()
@@ -170,7 +170,7 @@
 
     def _hear_entry(self, hello: fleet.EntryHello) -> None:
         known = self._entries.get(hello.host_id)
-        ways.note_greeting(self._ways, hello, clocks.now_s())
+        paths.note_greeting(self._paths, hello, clocks.now_s())
         self._entries[hello.host_id] = decisions.Seen(hello, time.monotonic())
         if known is None:
             logger.bind(entry_host=hello.host_id).info('entry_host_heard')
@@ -274,7 +274,7 @@
             config_version=self._config_version,
             earlier=self._versions.earlier(self._models),
             sent_ms=int(now_s * _MS_PER_S),
-            ways=ways.as_told(ways.delays_from(self._ways, now_s)),
+            paths=paths.as_told(paths.delays_from(self._paths, now_s)),
         )
         send_all(self._socket, addresses, hello)
 
--- a/apricotpin/components/presence/ways.py
+++ b/apricotpin/components/presence/paths.py
@@ -1,4 +1,4 @@
-"""How much longer than usual the ways between data centres take.
+"""How much slower than usual the paths between data centres are.
 
 Clocks of hosts differ, so only the change of the time between a greeting's
 sending and its arrival tells anything: the least of it over some time is that
@@ -9,7 +9,7 @@
 from collections import defaultdict, deque
 
 from apricotpin.components.presence import const
-from apricotpin.messages.fleet import EntryHello, WayDelay
+from apricotpin.messages.fleet import EntryHello, PathDelay
 
 _MS_PER_S = 1000
 
@@ -33,7 +33,7 @@
         self.data_centre = data_centre
         self.samples: deque[Sample] = deque()
         # What the host measured of datagrams from each data centre.
-        self.told: list[WayDelay] = []
+        self.told: list[PathDelay] = []
 
 
 def note_greeting(
@@ -45,10 +45,10 @@
     if not hello.sent_ms:
         return
     heard = hosts.setdefault(hello.host_id, Heard(hello.data_centre))
-    heard.told = hello.ways
+    heard.told = hello.paths
     sent_s = hello.sent_ms / _MS_PER_S
     heard.samples.append(Sample(now_s, now_s - sent_s))
-    while heard.samples[0].came_s < now_s - const.WAY_BASE_S:
+    while heard.samples[0].came_s < now_s - const.PATH_BASE_S:
         heard.samples.popleft()
 
 
@@ -82,16 +82,16 @@
         if not _recent(heard, now_s):
             continue
         found[heard.data_centre].extend(
-            way.delay_ms / _MS_PER_S
-            for way in heard.told
-            if way.data_centre == data_centre
+            path.delay_ms / _MS_PER_S
+            for path in heard.told
+            if path.data_centre == data_centre
         )
     return {
         place: statistics.median(few) for place, few in found.items() if few
     }
 
 
-def both_ways(
+def round_trips(
     hosts: dict[str, Heard],
     data_centre: str,
     now_s: float,
@@ -106,10 +106,10 @@
     }
 
 
-def as_told(delays_s: dict[str, float]) -> list[WayDelay]:
+def as_told(delays_s: dict[str, float]) -> list[PathDelay]:
     """Return delays as greetings tell them."""
     return [
-        WayDelay(place, round(delay_s * _MS_PER_S))
+        PathDelay(place, round(delay_s * _MS_PER_S))
         for place, delay_s in delays_s.items()
     ]
 
@@ -118,5 +118,5 @@
     return [
         sample
         for sample in heard.samples
-        if sample.came_s >= now_s - const.WAY_RECENT_S
+        if sample.came_s >= now_s - const.PATH_RECENT_S
     ]
--- a/apricotpin/messages/fleet.py
+++ b/apricotpin/messages/fleet.py
@@ -22,7 +22,7 @@
         self.known_for_ms = known_for_ms
 
 
-class WayDelay:
+class PathDelay:
     """Tell how much longer than usual datagrams from a data centre take."""
 
     __slots__ = ('data_centre', 'delay_ms')
@@ -39,7 +39,7 @@
     groups: group is that of the receiver's worker, and turn the number of
     workers in earlier groups that have not switched to turn_version yet.
     sent_ms is of the sender's clock that counts suspensions, 0 if it is not
-    told, and ways what the sender measured of datagrams that reached it.
+    told, and paths what the sender measured of datagrams that reached it.
     """
 
     __slots__ = (
@@ -54,7 +54,7 @@
         'targets',
         'turn',
         'turn_version',
-        'ways',
+        'paths',
     )
 
     def __init__(
@@ -70,10 +70,10 @@
         turn_version: int = 0,
         earlier: list[WeightsTarget] | None = None,
         sent_ms: int = 0,
-        ways: list[WayDelay] | None = None,
+        paths: list[PathDelay] | None = None,
     ) -> None:
         self.sent_ms = sent_ms
-        self.ways = ways or []
+        self.paths = paths or []
         # Versions that the targets replaced; they bound those before them.
         self.earlier = earlier or []
         self.host_id = host_id
@@ -190,8 +190,8 @@
         self.hosts = hosts
 
 
-class WaysMeasured:
-    """Announce how much longer than usual the way to and from others takes.
+class PathsMeasured:
+    """Announce how much longer than usual the path to and from others takes.
 
     delays_s maps data centres to the delay of both directions together.
     """
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -140,7 +140,7 @@
   4: i64 known_for_ms
 }
 
-struct WayDelay {
+struct PathDelay {
   1: string data_centre
   2: i32 delay_ms
 }
@@ -158,7 +158,7 @@
   9: i64 turn_version
   10: list<WeightsTarget> earlier
   11: i64 sent_ms
-  12: list<WayDelay> ways
+  12: list<PathDelay> paths
 }
 
 struct LoadReport {
--- a/tests/components/dispatch/choice.feature
+++ b/tests/components/dispatch/choice.feature
@@ -6,7 +6,7 @@
     # A request waits in a full link; closing its connection does not take it
     # back, and it reached the worker over half a second after its caller left.
     Given dispatch knows a worker that is <first> and one that is far
-    And dispatch measures that the way elsewhere takes <delay> s longer than usual
+    And dispatch measures that the path elsewhere takes <delay> s longer than usual
     When dispatch chooses for a request that is <kind>
     Then dispatch's choice is <chosen>
 
--- a/tests/components/presence/ways.feature
+++ b/tests/components/presence/paths.feature
@@ -1,8 +1,8 @@
-Feature: How long the ways between data centres take
+Feature: How long the paths between data centres take
   Requests that wait in a full link reach their worker after their callers have
   left. No host can tell that from its own connections before it has sent some.
 
-  Scenario Outline: clocks <apart> s apart and a way that takes <before> s, then <after> s: <delay> s more
+  Scenario Outline: clocks <apart> s apart and a path that takes <before> s, then <after> s: <delay> s more
     # The hosts' clocks need not agree.
     Given presence greets from 3 hosts whose clocks are <apart> s apart
     When presence's greetings take <before> s for 10 s and then <after> s for 2 s
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -19,7 +19,7 @@
     ModelVersionChanged,
     ServiceSpec,
 )
-from apricotpin.messages.fleet import LoadReport, WaysMeasured
+from apricotpin.messages.fleet import LoadReport, PathsMeasured
 from apricotpin.messages.upstreams import (
     CancelPick,
     LoadedLayers,
@@ -138,11 +138,11 @@
 
 
 @given(
-    'dispatch measures that the way elsewhere takes {delay:g} s longer than '
+    'dispatch measures that the path elsewhere takes {delay:g} s longer than '
     'usual'
 )
 def measure_way(context, delay):
-    Beliefs(context.state).note_ways(WaysMeasured({'far': delay}), Reply())
+    Beliefs(context.state).note_paths(PathsMeasured({'far': delay}), Reply())
 
 
 @when('dispatch chooses')
--- a/tests/steps/presence_ways_steps.py
+++ b/tests/steps/presence_paths_steps.py
@@ -1,10 +1,10 @@
-"""Steps for how long the ways between data centres take."""
+"""Steps for how long the paths between data centres take."""
 
 from behave import given, then, when
 
-from apricotpin.components.presence import ways
+from apricotpin.components.presence import paths
 from apricotpin.helpers.wire import decode_datagram, encode_datagram
-from apricotpin.messages.fleet import EntryHello, WayDelay
+from apricotpin.messages.fleet import EntryHello, PathDelay
 
 _NOW_S = 10000.0
 _PERIOD_S = 0.9
@@ -25,7 +25,7 @@
 
 @given("presence's hosts there measured {there:g} s of what came from here")
 def measured_there(context, there):
-    context.told = [WayDelay(_HERE, round(there * _MS_PER_S))]
+    context.told = [PathDelay(_HERE, round(there * _MS_PER_S))]
 
 
 def _greet(context, name, sent_s, takes_s):
@@ -35,11 +35,11 @@
         _THERE,
         [],
         sent_ms=round((sent_s + context.apart_s) * _MS_PER_S),
-        ways=context.told,
+        paths=context.told,
     )
-    # The way over the wire is part of what is measured.
+    # The encoding is part of what is measured.
     heard = decode_datagram(encode_datagram(hello))
-    ways.note_greeting(context.hosts, heard, sent_s + takes_s)
+    paths.note_greeting(context.hosts, heard, sent_s + takes_s)
 
 
 def _greet_for(context, names, first_s, last_s, takes_s):
@@ -82,17 +82,17 @@
 
 @then('presence measures a delay of {delay:g} s from there')
 def measures_from(context, delay):
-    found = ways.delays_from(context.hosts, context.now_s)
+    found = paths.delays_from(context.hosts, context.now_s)
     assert round(found[_THERE], 2) == delay, found
 
 
 @then('presence measures a delay of {delay:g} s there and back')
 def measures_both(context, delay):
-    found = ways.both_ways(context.hosts, _HERE, context.now_s)
+    found = paths.round_trips(context.hosts, _HERE, context.now_s)
     assert round(found[_THERE], 2) == delay, found
 
 
 @then('presence measures no delay from there')
 def measures_none(context):
-    found = ways.delays_from(context.hosts, context.now_s)
+    found = paths.delays_from(context.hosts, context.now_s)
     assert not found, found
