Follow workers that leave or ask for a pause, and check refusals' ids

Cause: Server-Leaving and Retry-After of workers were not decoded, so a worker that leaves while the store is away got requests until it ended, and one that asked for a pause got the next request after 80 ms. A refusal was believed before the id was compared: an earlier one, repeated on a kept connection, ended a request that ran as not run, or sent it to a second worker.

Change: the head of each response tells dispatch at once that a worker leaves (no new requests until another start of a worker has the address) or for how long it wants none. Both survive that the store loses the entry. Agents pass on that their worker leaves in load reports. If all workers of a service pause, a request is refused at once with the end of the first pause. A refusal counts only with the id of its request, or without one on a new connection. dispatch/decisions.py is split into selection, load and health.

--- a/apricotpin/components/dispatch/__init__.py
+++ b/apricotpin/components/dispatch/__init__.py
@@ -39,6 +39,7 @@
             upstreams.CountRequest: updater.count_request,
             upstreams.SelectUpstream: service.select_upstream,
             upstreams.AttemptDone: service.end_attempt,
+            upstreams.AvailabilityStated: service.record_availability,
             upstreams.CancelSelection: service.cancel_selection,
             ExpireWaiters: service.expire_waiters,
             CloseIdleConnections: service.close_expired,
--- a/apricotpin/components/dispatch/const.py
+++ b/apricotpin/components/dispatch/const.py
@@ -37,6 +37,12 @@
 BACKOFF_MAX_S: Final = 3.0
 # Back-off of an upstream that responded that it is full.
 BUSY_BACKOFF_S: Final = 0.08
+# Limits the pause that a worker may ask for. No worker needs longer to become
+# available, and a restarted one is known anew at once.
+PAUSE_MAX_S: Final = 300.0
+# For how long a removed upstream that is leaving or paused is remembered. The
+# store may lose its entry during an outage and list it again afterwards.
+REMOVED_KEEP_S: Final = 300.0
 # From this long before its version deadline, an outdated version receives no
 # more requests, to allow for the time that a request waits at the worker.
 VERSION_MARGIN_S: Final = 0.8
--- a/apricotpin/components/dispatch/decisions.py
+++ b/apricotpin/components/dispatch/decisions.py
@@ -1,21 +1,17 @@
-"""Select upstreams, and update their state by reports and attempts."""
+"""Select upstreams by their health, version, load and distance."""
 
 from collections import Counter
 from collections.abc import Callable
 
 from result import Err, Ok, Result
 
-from apricotpin.components.dispatch import budget, const, versions
+from apricotpin.components.dispatch import const, health, load, versions
 from apricotpin.components.dispatch.state import DispatchState, Upstream
 from apricotpin.errors import ErrorKind, Failure
-from apricotpin.helpers.exchange import Verdict
 from apricotpin.messages.desired import Engine
-from apricotpin.messages.fleet import LoadReport
 
 RandomUnit = Callable[[], float]
 
-_CONNECTION_FAILURES = frozenset((Verdict.CONNECT_FAILED, Verdict.RESET))
-
 
 def select_upstream(
     state: DispatchState,
@@ -42,7 +38,7 @@
         detail = describe_no_upstream(state, service, now_s)
         return Err(Failure(ErrorKind.NO_UPSTREAM, detail))
     is_model = engine is not None
-    rate_to_eligible_per_s = estimate_rate_from_others(
+    rate_to_eligible_per_s = load.estimate_rate_from_others(
         state, service, eligible, now_s
     )
     outdated = [
@@ -50,7 +46,7 @@
         for worker in eligible
         if versions.is_outdated(state, worker, now_s)
     ]
-    rate_to_outdated_per_s = estimate_rate_from_others(
+    rate_to_outdated_per_s = load.estimate_rate_from_others(
         state, service, outdated, now_s
     )
     available = [
@@ -62,15 +58,14 @@
             is_model,
             now_s,
             is_resumed,
-            estimate_unreported_load(
+            load.estimate_unreported_load(
                 state, upstream, rate_to_eligible_per_s, now_s
             ),
         )
         and can_start_in_time(state, upstream, rate_to_outdated_per_s, now_s)
     ]
     if not available:
-        detail = describe_overload(state, service, eligible)
-        return Err(Failure(ErrorKind.OVERLOADED, detail))
+        return Err(describe_overload(state, service, eligible, now_s))
     return Ok(
         min(
             available,
@@ -85,14 +80,36 @@
     state: DispatchState,
     service: str,
     eligible: list[Upstream],
-) -> str:
-    """Return why no request can be sent to any of the eligible upstreams."""
+    now_s: float,
+) -> Failure:
+    """Return why no request can be sent to any of the eligible upstreams.
+
+    If all of them asked for a pause, the failure says when the first ends.
+    """
+    pause_s = (
+        min(upstream.availability.pause_until_s for upstream in eligible)
+        - now_s
+    )
+    if pause_s > 0:
+        detail = (
+            f'all {len(eligible)} upstreams of {service} asked for a pause; '
+            f'the first ends in {pause_s:.2f} s'
+        )
+        return Failure(ErrorKind.OVERLOADED, detail, pause_s)
     slow = sum(not is_path_usable(state, upstream) for upstream in eligible)
-    return (
+    detail = (
         f'no upstream of {service} has capacity: {len(eligible) - slow} are '
         f'full, in back-off or too close to a version deadline, {slow} '
         f'have a path delay above {const.PATH_DELAY_MAX_S} s'
     )
+    return Failure(ErrorKind.OVERLOADED, detail)
+
+
+def may_wait(failure: Failure, queue_timeout_s: float) -> bool:
+    """Return whether a request that can't be sent now may be sent in time."""
+    if failure.kind is not ErrorKind.OVERLOADED:
+        return False
+    return (failure.retry_after_s or 0) < queue_timeout_s
 
 
 def describe_no_upstream(
@@ -133,7 +150,9 @@
     """Return why no request may be sent to an upstream, empty if it may."""
     if upstream.entry.draining:
         return 'draining'
-    if is_unreachable_or_restarted(upstream, now_s):
+    if upstream.availability.is_leaving:
+        return 'leaving'
+    if health.is_unreachable_or_restarted(upstream, now_s):
         return 'unreachable or restarted'
     if engine is None:
         return ''
@@ -159,6 +178,8 @@
     """
     if upstream.backoff_until_s > now_s:
         return False
+    if upstream.availability.pause_until_s > now_s:
+        return False
     slots = upstream.entry.slots
     queue_limit = (
         const.MODEL_QUEUE_MAX
@@ -168,7 +189,8 @@
     if is_resumed:
         queue_limit += const.RESUMED_QUEUE_EXTRA
     return (
-        estimate_load(upstream, now_s) + unreported_load < slots + queue_limit
+        load.estimate_load(upstream, now_s) + unreported_load
+        < slots + queue_limit
     )
 
 
@@ -200,45 +222,13 @@
         return False
     if not versions.has_recent_report(upstream, now_s):
         return False
-    unreported_load = estimate_unreported_load(
+    unreported_load = load.estimate_unreported_load(
         state, upstream, rate_from_others_per_s, now_s
     )
     return (
-        estimate_load(upstream, now_s) + unreported_load < upstream.entry.slots
-    )
-
-
-def estimate_rate_from_others(
-    state: DispatchState,
-    service: str,
-    candidates: list[Upstream],
-    now_s: float,
-) -> float:
-    """Estimate what the other hosts send to each local candidate per second.
-
-    The hosts of a data centre select alike among its workers. When few are
-    left, all hosts select the same ones before a load report shows it.
-    """
-    local_count = sum(
-        upstream.entry.data_centre == state.data_centre
-        for upstream in candidates
+        load.estimate_load(upstream, now_s) + unreported_load
+        < upstream.entry.slots
     )
-    own_count = budget.count_recent_selections(state.get_window(service), now_s)
-    other_hosts = max(0, state.local_host_count - 1)
-    return own_count / const.RATE_WINDOW_S * other_hosts / max(1, local_count)
-
-
-def estimate_unreported_load(
-    state: DispatchState,
-    upstream: Upstream,
-    rate_from_others_per_s: float,
-    now_s: float,
-) -> float:
-    """Estimate what other hosts sent to an upstream since its last report."""
-    is_local = upstream.entry.data_centre == state.data_centre
-    if not is_local or not versions.has_recent_report(upstream, now_s):
-        return 0
-    return rate_from_others_per_s * (now_s - upstream.report_received_s)
 
 
 def compute_cost(
@@ -248,7 +238,7 @@
     random_unit: RandomUnit,
 ) -> float:
     """Return the cost of an upstream; 1 is the load with all slots in use."""
-    cost = estimate_load(upstream, now_s) / max(1, upstream.entry.slots)
+    cost = load.estimate_load(upstream, now_s) / max(1, upstream.entry.slots)
     if upstream.entry.data_centre != state.data_centre:
         cost += const.REMOTE_COST
     if (
@@ -260,75 +250,3 @@
         cost += const.OUTDATED_COST
     cost += upstream.failure_score * const.FAILURE_COST
     return cost + random_unit() * const.TIE_BREAK_COST_MAX
-
-
-def estimate_load(upstream: Upstream, now_s: float) -> int:
-    """Return the number of requests that run or wait at an upstream.
-
-    Those of other hosts are known from a recent load report only.
-    """
-    others_in_flight = (
-        upstream.others_in_flight
-        if versions.has_recent_report(upstream, now_s)
-        else 0
-    )
-    return upstream.own_in_flight + others_in_flight
-
-
-def is_unreachable_or_restarted(upstream: Upstream, now_s: float) -> bool:
-    """Return whether a recent report contradicts an upstream's entry.
-
-    The worker at its address is unreachable, or has another start time.
-    """
-    if not versions.has_recent_report(upstream, now_s):
-        return False
-    report = upstream.report
-    if not report.reachable:
-        return True
-    started_ms = upstream.entry.started_ms
-    return bool(started_ms) and started_ms != report.started_ms
-
-
-def record_report(upstream: Upstream, report: LoadReport, now_s: float) -> None:
-    """Record a load report on an upstream.
-
-    The reported requests beyond this host's own are those of other hosts.
-    """
-    upstream.report = report
-    upstream.report_received_s = now_s
-    upstream.others_in_flight = max(
-        0, report.active + report.queued - upstream.own_in_flight
-    )
-
-
-def record_verdict(
-    upstream: Upstream,
-    verdict: Verdict,
-    now_s: float,
-    backoff_s: Callable[[int], float],
-) -> None:
-    """Update the health of an upstream by the end of an attempt.
-
-    A failure while the worker switches weights keeps its failure score.
-    backoff_s maps the number of failed connections to a back-off.
-    """
-    not_failures = {
-        Verdict.ANSWERED,
-        Verdict.BUSY,
-        Verdict.CALLER_LEFT,
-        Verdict.START_OVERDUE,
-    }
-    is_switching = upstream.report is not None and upstream.report.switching
-    failed = verdict not in not_failures and not is_switching
-    weight = const.FAILURE_SCORE_WEIGHT
-    if verdict is Verdict.BUSY:
-        upstream.backoff_until_s = now_s + const.BUSY_BACKOFF_S
-    elif failed or verdict is Verdict.ANSWERED:
-        upstream.failure_score += (failed - upstream.failure_score) * weight
-    if verdict in _CONNECTION_FAILURES:
-        upstream.connection_failures += 1
-        upstream.backoff_until_s = now_s + backoff_s(
-            upstream.connection_failures
-        )
-    elif verdict is Verdict.ANSWERED:
-        upstream.connection_failures = 0
--- a/apricotpin/components/dispatch/service.py
+++ b/apricotpin/components/dispatch/service.py
@@ -3,6 +3,7 @@
 import random
 
 import gevent
+from loguru import logger
 from result import Err, Result
 
 from apricotpin.components.dispatch import (
@@ -10,6 +11,8 @@
     connections,
     const,
     decisions,
+    health,
+    load,
     versions,
 )
 from apricotpin.components.dispatch.state import (
@@ -65,15 +68,13 @@
         """Add or update an upstream; a restarted or moved one is added anew."""
         entry = message.entry
         known = self._state.upstreams.get(entry.instance_id)
-        is_unchanged = known is not None and (
-            known.entry.started_ms == entry.started_ms
-            and known.address == entry.address
-        )
-        if is_unchanged:
-            known.entry = entry
-        else:
-            self._remove(entry.instance_id)
-            self._state.upstreams[entry.instance_id] = Upstream(entry)
+        if known is None:
+            known = self._state.removed.pop(entry.instance_id, None)
+        if known is None or not health.is_same_worker(known.entry, entry):
+            self._close_and_drop(entry.instance_id)
+            known = Upstream(entry)
+        known.entry = entry
+        self._state.upstreams[entry.instance_id] = known
         self._serve_waiters()
         reply.ok()
 
@@ -90,8 +91,8 @@
         """Record a load report on the worker at its address."""
         now_s = clocks.boot_time_s()
         for upstream in self._state.upstreams.values():
-            if upstream.address == message.address:
-                decisions.record_report(upstream, message, now_s)
+            if upstream.entry.address == message.address:
+                health.record_report(upstream, message, now_s)
         self._serve_waiters()
         reply.ok()
 
@@ -102,8 +103,7 @@
         outcome = self._select(message)
         may_wait = (
             outcome.is_err()
-            and message.queue_timeout_s > 0
-            and outcome.err_value.kind is ErrorKind.OVERLOADED
+            and decisions.may_wait(outcome.err_value, message.queue_timeout_s)
             and len(self._waiters) < const.WAITERS_MAX
         )
         if not may_wait:
@@ -126,6 +126,36 @@
             waiter.reply.forward(self._select(waiter.message))
         reply.ok()
 
+    def record_availability(
+        self, message: upstreams.AvailabilityStated, reply: Reply
+    ) -> None:
+        """Record that the upstream of an attempt leaves or wants a pause."""
+        upstream = self._state.find_upstream(message.ticket)
+        if upstream is None:
+            reply.ok()
+            return
+        now_s = clocks.boot_time_s()
+        if message.is_leaving and not upstream.availability.is_leaving:
+            count(self._kernel, 'upstreams_leaving_total')
+            logger.bind(
+                instance=upstream.entry.instance_id,
+                service=upstream.entry.service,
+                source='response',
+            ).info('upstream_leaving')
+        if message.pause_s:
+            count(self._kernel, 'upstream_pauses_total')
+            logger.bind(
+                instance=upstream.entry.instance_id,
+                service=upstream.entry.service,
+                pause_ms=int(message.pause_s * 1000),
+            ).info('upstream_paused')
+        health.record_availability(
+            upstream, message.is_leaving, message.pause_s, now_s
+        )
+        if upstream.availability.is_leaving:
+            connections.close_expired(upstream.idle_connections, float('inf'))
+        reply.ok()
+
     def end_attempt(
         self,
         message: upstreams.AttemptDone,
@@ -139,7 +169,7 @@
             return
         now_s = clocks.boot_time_s()
         verdict = Verdict(message.verdict)
-        decisions.record_verdict(upstream, verdict, now_s, self._backoff_s)
+        health.record_verdict(upstream, verdict, now_s, self._backoff_s)
         if verdict is Verdict.MISDIRECTED:
             # Another worker uses the address now, so the entry is out of date.
             self._remove(message.instance_id)
@@ -165,8 +195,9 @@
     def close_expired(
         self, _message: CloseIdleConnections, reply: Reply
     ) -> None:
-        """Close the idle connections that have expired."""
+        """Close expired idle connections and forget removed upstreams."""
         now_s = clocks.boot_time_s()
+        health.forget_removed(self._state, now_s)
         for upstream in self._state.upstreams.values():
             connections.close_expired(upstream.idle_connections, now_s)
         reply.ok()
@@ -209,7 +240,7 @@
         ticket: str,
         now_s: float,
     ) -> upstreams.SelectedUpstream:
-        load = decisions.estimate_load(upstream, now_s)
+        in_flight = load.estimate_load(upstream, now_s)
         engine = self._state.get_engine(upstream.entry.service)
         version = 0
         if engine is not None:
@@ -223,10 +254,10 @@
             count(self._kernel, 'upstream_connections_total')
         return upstreams.SelectedUpstream(
             upstream.entry.instance_id,
-            upstream.address,
+            upstream.entry.address,
             connection,
             version,
-            load,
+            in_flight,
             now_s - upstream.report_received_s,
             ticket,
             None if start_deadline_s is None else start_deadline_s - now_s,
@@ -244,6 +275,12 @@
             waiter.reply.forward(outcome)
 
     def _remove(self, instance_id: str) -> None:
+        upstream = self._close_and_drop(instance_id)
+        if upstream is not None:
+            health.remember_removed(self._state, upstream, clocks.boot_time_s())
+
+    def _close_and_drop(self, instance_id: str) -> Upstream | None:
         upstream = self._state.upstreams.pop(instance_id, None)
         if upstream is not None:
             connections.close_expired(upstream.idle_connections, float('inf'))
+        return upstream
--- a/apricotpin/components/dispatch/state.py
+++ b/apricotpin/components/dispatch/state.py
@@ -19,6 +19,22 @@
         self.expires_s = expires_s
 
 
+class StatedAvailability:
+    """Hold what an upstream has stated about new requests.
+
+    is_leaving is true once it has stated that it shuts down, and until
+    pause_until_s it wants no requests. forgotten_s is when the statement may
+    be forgotten, if the upstream is no longer listed.
+    """
+
+    __slots__ = ('forgotten_s', 'is_leaving', 'pause_until_s')
+
+    def __init__(self) -> None:
+        self.is_leaving = False
+        self.pause_until_s = float('-inf')
+        self.forgotten_s = float('inf')
+
+
 class Upstream:
     """Track the load, the health and the idle connections of one upstream.
 
@@ -28,7 +44,7 @@
     """
 
     __slots__ = (
-        'address',
+        'availability',
         'backoff_until_s',
         'connection_failures',
         'entry',
@@ -42,7 +58,7 @@
 
     def __init__(self, entry: UpstreamEntry) -> None:
         self.entry = entry
-        self.address = entry.address
+        self.availability = StatedAvailability()
         self.own_in_flight = 0
         self.others_in_flight = 0
         self.report: LoadReport | None = None
@@ -88,6 +104,7 @@
         'declared_versions',
         'upstreams',
         'path_delays_s',
+        'removed',
         '_upstreams_by_ticket',
         '_windows',
     )
@@ -102,6 +119,9 @@
         # Time of declaration on the boot-time clock, by model and version.
         self.declared_versions: dict[str, dict[int, float]] = {}
         self.upstreams: dict[str, Upstream] = {}
+        # Upstreams that are no longer listed but had stated that they leave or
+        # want a pause, by instance, the one removed first at the start.
+        self.removed: dict[str, Upstream] = {}
         # How much longer than usual the path there and back takes, by data
         # centre.
         self.path_delays_s: dict[str, float] = {}
@@ -123,6 +143,10 @@
         upstream.own_in_flight += 1
         self._upstreams_by_ticket[ticket] = upstream
 
+    def find_upstream(self, ticket: str) -> Upstream | None:
+        """Return the upstream of an attempt in progress, None if unknown."""
+        return self._upstreams_by_ticket.get(ticket)
+
     def end_attempt(self, ticket: str) -> Upstream | None:
         """Stop counting an attempt; return its upstream if it had one."""
         upstream = self._upstreams_by_ticket.pop(ticket, None)
--- a/apricotpin/components/gateway/application.py
+++ b/apricotpin/components/gateway/application.py
@@ -175,7 +175,7 @@
         remaining_s = serving.remaining_s(
             self._context, self._head, self._started_s
         )
-        retry_after_s = decisions.retry_after_s(failure.kind, remaining_s)
+        retry_after_s = decisions.retry_after_s(failure, remaining_s)
         status = error_response_for(failure.kind).http_status
         self._outcome = {
             'outcome': failure.kind.value,
--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -17,6 +17,7 @@
 from apricotpin.messages.metrics import Observe
 from apricotpin.messages.upstreams import (
     AttemptDone,
+    AvailabilityStated,
     CancelSelection,
     SelectUpstream,
     SelectedUpstream,
@@ -194,13 +195,32 @@
         attempt.head,
         context.head.request_id,
         attempt.upstream.instance_id,
+        attempt.exchange.reused,
     )
+    _report_availability(context, attempt)
     is_stream = context.resolved.route.kind is RouteKind.STREAM
     if is_stream and verdict is Verdict.ANSWERED:
         return _start_stream(context, attempt)
     return _read_body(context, attempt, verdict)
 
 
+def _report_availability(context: RequestContext, attempt: Attempt) -> None:
+    """Tell dispatch at once what a response head states about new requests.
+
+    That concerns the worker and not one request, so it also holds in a
+    response that belongs to another request.
+    """
+    head, upstream = attempt.head, attempt.upstream
+    if not head.is_leaving and not head.pause_s:
+        return
+    if decisions.is_from_another_instance(head, upstream.instance_id):
+        return
+    context.kernel.send(
+        SERVICE_DISPATCH,
+        AvailabilityStated(upstream.ticket, head.is_leaving, head.pause_s),
+    )
+
+
 def _start_stream(context: RequestContext, attempt: Attempt) -> Verdict:
     attempt.splitter = EventSplitter()
     events = read_events(context, attempt)
--- a/apricotpin/components/gateway/decisions.py
+++ b/apricotpin/components/gateway/decisions.py
@@ -87,20 +87,27 @@
     head: ResponseHead,
     request_id: str,
     instance_id: str,
+    is_reused: bool,
 ) -> Verdict:
     """Return the verdict that a response head allows.
 
+    On a reused connection a worker may send an earlier response again, so
+    even a refusal counts only with the id of the request. On a new connection
+    no earlier response exists, and a refusal without an id is accepted.
+
     A worker also responds "misdirected" while it switches its weights. Only
     if the response names another instance has that instance taken over the
     address.
     """
+    refuses = head.is_misdirected or head.not_run
+    is_unnamed_refusal = refuses and not head.request_id and not is_reused
+    if head.request_id != request_id and not is_unnamed_refusal:
+        return Verdict.MISMATCHED
     if head.is_misdirected:
-        is_another_instance = head.responder_id not in {'', instance_id}
-        return Verdict.MISDIRECTED if is_another_instance else Verdict.BUSY
+        is_another = is_from_another_instance(head, instance_id)
+        return Verdict.MISDIRECTED if is_another else Verdict.BUSY
     if head.not_run:
         return Verdict.BUSY
-    if head.request_id != request_id:
-        return Verdict.MISMATCHED
     if not head.has_seal or head.has_encoded_body:
         return Verdict.TRUNCATED
     if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
@@ -108,6 +115,11 @@
     return Verdict.ANSWERED
 
 
+def is_from_another_instance(head: ResponseHead, instance_id: str) -> bool:
+    """Return whether a response names another instance than the expected."""
+    return head.responder_id not in {'', instance_id}
+
+
 def record_attempt(
     progress: Progress,
     instance_id: str,
@@ -163,12 +175,14 @@
     return Failure(ErrorKind.UPSTREAM_FAILED, cause.detail)
 
 
-def retry_after_s(kind: ErrorKind, remaining_s: float) -> float | None:
+def retry_after_s(failure: Failure, remaining_s: float) -> float | None:
     """Return the Retry-After time, None if a retry would not help."""
+    if failure.retry_after_s is not None:
+        return failure.retry_after_s
     max_s = max(0, remaining_s) * const.RETRY_AFTER_SHARE
-    if kind in _OVERLOAD_KINDS:
+    if failure.kind in _OVERLOAD_KINDS:
         return min(const.RETRY_AFTER_OVERLOADED_MAX_S, max_s)
-    if kind in _UNAVAILABLE_KINDS:
+    if failure.kind in _UNAVAILABLE_KINDS:
         return min(const.RETRY_AFTER_UNAVAILABLE_MAX_S, max_s)
     return None
 
--- a/apricotpin/components/installer/decisions.py
+++ b/apricotpin/components/installer/decisions.py
@@ -238,4 +238,5 @@
         layers_end=worker.layers_end,
         switching=install is not None and is_switching(install, worker, now_s),
         installing=0 if is_done else install.version,
+        leaving=report is not None and report.is_leaving,
     )
--- a/apricotpin/components/metrics/const.py
+++ b/apricotpin/components/metrics/const.py
@@ -43,6 +43,16 @@
         KIND_COUNTER,
         'connections opened to upstreams',
     ),
+    Metric(
+        'upstreams_leaving_total',
+        KIND_COUNTER,
+        'upstreams that stated in a response or a report that they shut down',
+    ),
+    Metric(
+        'upstream_pauses_total',
+        KIND_COUNTER,
+        'responses in which an upstream asked for no further requests',
+    ),
     Metric('requests_total', KIND_COUNTER, 'requests accepted from callers'),
     Metric('requests_in_flight', KIND_GAUGE, 'requests of callers in progress'),
     Metric(
--- a/apricotpin/errors.py
+++ b/apricotpin/errors.py
@@ -93,13 +93,23 @@
 
 
 class Failure:
-    """Carry an error kind and a detail for the operator."""
+    """Carry an error kind and a detail for the operator.
 
-    __slots__ = ('detail', 'kind')
+    retry_after_s is the time after which a retry can succeed, None if that is
+    not known.
+    """
+
+    __slots__ = ('detail', 'kind', 'retry_after_s')
 
-    def __init__(self, kind: ErrorKind, detail: str = '') -> None:
+    def __init__(
+        self,
+        kind: ErrorKind,
+        detail: str = '',
+        retry_after_s: float | None = None,
+    ) -> None:
         self.kind = kind
         self.detail = detail
+        self.retry_after_s = retry_after_s
 
     def __repr__(self) -> str:
         return f'{self.kind.value}: {self.detail}'
--- a/apricotpin/helpers/http.py
+++ b/apricotpin/helpers/http.py
@@ -63,13 +63,19 @@
 
 
 class HttpResponse:
-    """Hold the status and the complete body of an HTTP response."""
+    """Hold the status, the headers and the complete body of a response."""
 
-    __slots__ = ('body', 'status')
+    __slots__ = ('body', 'headers', 'status')
 
-    def __init__(self, status: int, body: bytes) -> None:
+    def __init__(
+        self,
+        status: int,
+        body: bytes,
+        headers: list[tuple[str, str]] | None = None,
+    ) -> None:
         self.status = status
         self.body = body
+        self.headers = headers or []
 
     def document(self) -> Any:
         """Return the body parsed as JSON; raise ValueError if it is invalid."""
@@ -235,7 +241,11 @@
             return Err(failed)
         body = exchange.read_all(self._limits.response_max_bytes)
         return body.map(
-            lambda content: HttpResponse(exchange.parser.get_code(), content),
+            lambda content: HttpResponse(
+                exchange.parser.get_code(),
+                content,
+                list(exchange.parser.items()),
+            ),
         )
 
 
--- a/apricotpin/messages/fleet.py
+++ b/apricotpin/messages/fleet.py
@@ -99,6 +99,7 @@
     count grows with each report and starts again when the agent restarts.
     switching becomes true shortly before the worker switches to a new version.
     installing is the version that the agent installs, 0 if there is none.
+    leaving is true once the worker has stated that it shuts down.
     """
 
     __slots__ = (
@@ -109,6 +110,7 @@
         'installing',
         'layers_end',
         'layers_start',
+        'leaving',
         'peer_address',
         'queued',
         'reachable',
@@ -134,7 +136,9 @@
         layers_end: int,
         switching: bool,
         installing: int = 0,
+        leaving: bool = False,
     ) -> None:
+        self.leaving = leaving
         self.address = address
         self.peer_address = peer_address
         self.data_centre = data_centre
--- a/apricotpin/messages/pieces.py
+++ b/apricotpin/messages/pieces.py
@@ -116,6 +116,7 @@
     __slots__ = (
         'active',
         'has_order_in_progress',
+        'is_leaving',
         'loaded',
         'queued',
         'started_ms',
@@ -128,7 +129,10 @@
         has_order_in_progress: bool,
         started_ms: int,
         loaded: tuple[LoadedLayers, ...],
+        is_leaving: bool = False,
     ) -> None:
+        # Whether the worker states that it shuts down.
+        self.is_leaving = is_leaving
         self.active = active
         self.queued = queued
         # Whether the worker is carrying out an order to load a version.
--- a/apricotpin/messages/requests.py
+++ b/apricotpin/messages/requests.py
@@ -90,16 +90,19 @@
     keep_alive_s is how long the upstream keeps an idle connection open, None
     if it did not say. responder_id is the instance named in the response and
     version that of its weights; they are empty and 0 if the response names
-    none.
+    none. is_leaving is true if the upstream states that it shuts down. pause_s
+    is for how long it asks for no further requests, 0 if it does not ask.
     """
 
     __slots__ = (
         'has_encoded_body',
         'has_seal',
         'headers',
+        'is_leaving',
         'is_misdirected',
         'keep_alive_s',
         'not_run',
+        'pause_s',
         'request_id',
         'responder_id',
         'status',
@@ -118,7 +121,11 @@
         keep_alive_s: float | None,
         responder_id: str = '',
         version: int = 0,
+        is_leaving: bool = False,
+        pause_s: float = 0,
     ) -> None:
+        self.is_leaving = is_leaving
+        self.pause_s = pause_s
         self.responder_id = responder_id
         self.version = version
         self.status = status
--- a/apricotpin/messages/upstreams.py
+++ b/apricotpin/messages/upstreams.py
@@ -190,6 +190,21 @@
         self.keep_alive_s = keep_alive_s
 
 
+class AvailabilityStated:
+    """Report what an upstream's response states about new requests.
+
+    pause_s is for how long it asks for none, 0 if it does not ask. The ticket
+    is that of the attempt.
+    """
+
+    __slots__ = ('is_leaving', 'pause_s', 'ticket')
+
+    def __init__(self, ticket: str, is_leaving: bool, pause_s: float) -> None:
+        self.ticket = ticket
+        self.is_leaving = is_leaving
+        self.pause_s = pause_s
+
+
 class CancelSelection:
     """Cancel a selection, pending or made, because its request ended."""
 
--- a/apricotpin/platform/call_codec.py
+++ b/apricotpin/platform/call_codec.py
@@ -1,5 +1,7 @@
 """Decodes and encodes the heads of requests and responses."""
 
+import re
+from http import HTTPStatus
 from typing import Any, Final
 
 from result import Err, Ok, Result
@@ -16,6 +18,9 @@
 
 _MS_PER_S: Final = 1000
 _MISDIRECTED: Final = 421
+_INTEGER: Final = re.compile('[0-9]{1,18}')
+# Dates are not accepted, since the time of day of hosts may be wrong.
+_DELAY_SECONDS: Final = re.compile(r'[0-9]{1,18}(\.[0-9]{1,18})?')
 # Headers that concern one connection only, or that this system sets.
 _NOT_FORWARDED: Final = frozenset(
     name.lower()
@@ -72,13 +77,10 @@
     """Decode the head of a caller's request."""
     text_by_name = {name.lower(): text for name, text in headers}
     deadline = text_by_name.get(names.HEADER_DEADLINE.lower())
-    if deadline is not None and not deadline.isascii():
+    if deadline is not None and not _is_integer(deadline):
         return _bad_request(
-            f'{names.HEADER_DEADLINE} is {deadline!r}, expected milliseconds',
-        )
-    if deadline is not None and not deadline.isdigit():
-        return _bad_request(
-            f'{names.HEADER_DEADLINE} is {deadline!r}, expected milliseconds',
+            f'{names.HEADER_DEADLINE} is {deadline!r:.64}, '
+            'expected milliseconds',
         )
     prompt_tokens, output_tokens = _decode_tokens(
         text_by_name.get(names.HEADER_TOKENS.lower(), ''),
@@ -146,9 +148,16 @@
         version=_decode_version(
             text_by_name.get(names.HEADER_VERSION.lower(), '')
         ),
+        is_leaving=states_leaving(headers),
+        pause_s=_decode_pause_s(status, headers),
     )
 
 
+def states_leaving(headers: Headers) -> bool:
+    """Return whether a worker states in its response that it shuts down."""
+    return names.LEAVING in _values_of(headers, names.HEADER_LEAVING)
+
+
 def refusal_headers(request_id: str, retry_after_s: float | None) -> Headers:
     """Return the headers of a response that this system generates."""
     headers = [(names.HEADER_REQUEST_ID, request_id)] if request_id else []
@@ -178,20 +187,45 @@
 def _decode_tokens(text: str) -> tuple[int, int]:
     # The header holds the prompt tokens and the most output tokens.
     parts = text.split(',')
-    if len(parts) == 2 and all(part.strip().isdigit() for part in parts):
+    if len(parts) == 2 and all(_is_integer(part.strip()) for part in parts):
         return int(parts[0]), int(parts[1])
     return 0, 0
 
 
 def _decode_version(text: str) -> int:
     # The header holds one integer, although its name is a plural.
-    return int(text) if text.isascii() and text.isdigit() else 0
+    return int(text) if _is_integer(text) else 0
+
+
+def _is_integer(text: str) -> bool:
+    """Return whether a text is an integer that fits in 64 bits.
+
+    str.isdigit() accepts superscripts, which int() rejects, and any length.
+    """
+    return _INTEGER.fullmatch(text) is not None
+
+
+def _values_of(headers: Headers, name: str) -> list[str]:
+    return [
+        text.strip() for found, text in headers if found.lower() == name.lower()
+    ]
+
+
+def _decode_pause_s(status: int, headers: Headers) -> float:
+    if status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return 0
+    delays_s = (
+        float(text)
+        for text in _values_of(headers, names.HEADER_RETRY_AFTER)
+        if _DELAY_SECONDS.fullmatch(text)
+    )
+    return max(delays_s, default=0)
 
 
 def _decode_keep_alive_s(text: str) -> float | None:
     for part in text.split(','):
         name, _, amount = part.strip().partition('=')
-        if name.lower() == 'timeout' and amount.strip().isdigit():
+        if name.lower() == 'timeout' and _is_integer(amount.strip()):
             return float(amount)
     return None
 
--- a/apricotpin/platform/names.py
+++ b/apricotpin/platform/names.py
@@ -24,6 +24,8 @@
 HEADER_PRIORITY: Final = 'X-Request-Priority'
 HEADER_AUTHORIZATION: Final = 'Authorization'
 HEADER_RETRY_AFTER: Final = 'Retry-After'
+HEADER_LEAVING: Final = 'Server-Leaving'
+LEAVING: Final = '1'
 # Workers admit requests of this priority before those without the header,
 # which have priority 5.
 PRIORITY_FIRST: Final = 0
--- a/apricotpin/platform/worker.py
+++ b/apricotpin/platform/worker.py
@@ -17,6 +17,7 @@
     WorkerReport,
 )
 from apricotpin.platform import names
+from apricotpin.platform.call_codec import states_leaving
 from apricotpin.platform.http_client import PlatformHttpClient, decode_expected
 from apricotpin.platform.worker_documents import decode_loaded_layers
 
@@ -74,6 +75,7 @@
         has_order_in_progress=bool(fields['busy']),
         started_ms=int(fields.get('born', 0)),
         loaded=decode_loaded_layers(fields) or (),
+        is_leaving=states_leaving(response.headers),
     )
 
 
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -176,6 +176,7 @@
   12: i32 layers_end
   13: bool switching
   14: i64 installing
+  15: bool leaving
 }
 
 // Exactly one field is set.
--- a/tests/components/dispatch/choice.feature
+++ b/tests/components/dispatch/choice.feature
@@ -40,6 +40,11 @@
       | full by an old report      | made        |
       | in back-off                | overloaded  |
       | past its back-off          | made        |
+      | leaving                    | no_upstream |
+      | reported as leaving        | no_upstream |
+      | restarted, and reported as leaving before | made |
+      | paused                     | overloaded  |
+      | past its pause             | made        |
       | registered complete, never reported | made |
       | registered empty, never reported | no_upstream |
 
@@ -55,10 +60,58 @@
       | property             | ago | reason                              |
       | idle                 | 9   | 1 on version 1 (no longer allowed)  |
       | draining             | 1   | 1 draining                          |
+      | leaving              | 1   | 1 leaving                           |
       | reported unreachable | 1   | 1 unreachable or restarted          |
       | half loaded          | 1   | 1 without complete weights          |
       | of another service   | 1   | none is listed                      |
 
+  Scenario Outline: a worker that stated <statement> and then <event> receives <sent> after <later> s
+    # The store loses entries during an outage and lists them again, which must
+    # not undo what the worker has stated. Only another start of a worker is
+    # known to have stated nothing.
+    Given dispatch received from its worker the statement <statement>
+    When dispatch's worker <event>
+    Then dispatch sends <sent> to it after <later> s
+
+    Examples: leaving
+      | statement                 | event                          | later | sent    |
+      | leaving                   | is listed still                | 0     | nothing |
+      | leaving                   | is listed still                | 900   | nothing |
+      | leaving                   | is unlisted and listed again   | 20    | nothing |
+      | leaving                   | is listed as ready again       | 20    | nothing |
+      | leaving                   | restarts under its id          | 0     | a request |
+      | leaving                   | is unlisted and restarts       | 20    | a request |
+      | leaving                   | gives its address to another   | 0     | a request |
+      | leaving, then a pause of 1 s | is listed still             | 2     | nothing |
+
+    Examples: a pause
+      | statement                 | event                          | later | sent    |
+      | a pause of 2 s            | is listed still                | 1.9   | nothing |
+      | a pause of 2 s            | is listed still                | 2.1   | a request |
+      | a pause of 0.3 s          | is listed still                | 0.2   | nothing |
+      | a pause of 2 s            | is unlisted and listed again   | 1     | nothing |
+      | a pause of 2 s            | restarts under its id          | 0     | a request |
+      # A response that took longer to arrive does not end a longer pause.
+      | a pause of 2 s, then a pause of 0.5 s | is listed still    | 1.9   | nothing |
+      | a pause of 2 s            | is full for another request    | 1.9   | nothing |
+      | a pause of 9e99 s         | is listed still                | 299   | nothing |
+      | a pause of 9e99 s         | is listed still                | 301   | a request |
+
+  Scenario Outline: with workers paused for <pauses> s, a request that may wait <wait> s is <outcome>
+    # What can't be served in time is refused at once, with the time at which
+    # the first worker takes requests again.
+    Given dispatch knows workers that are paused for <pauses> s
+    When dispatch receives a request that may wait <wait> s
+    Then dispatch's reply is <outcome>
+
+    Examples:
+      | pauses   | wait | outcome                    |
+      | 2        | 0.05 | refused at once until 2.00 |
+      | 2, 3     | 0.05 | refused at once until 2.00 |
+      | 3, 0.9   | 0.05 | refused at once until 0.90 |
+      | 2, 0     | 0.05 | made                       |
+      | 0.02     | 0.05 | made within its wait       |
+
   Scenario Outline: a worker that is <better> is selected before one that is <worse>
     Given dispatch knows a worker that is <better> and one that is <worse>
     When dispatch selects an upstream 50 times
--- a/tests/components/gateway/decisions.feature
+++ b/tests/components/gateway/decisions.feature
@@ -50,6 +50,23 @@
       | 421    | misdirected by another worker | misdirected |
       | 421    | misdirected by the same worker | upstream_busy |
       | 421    | misdirected without an instance id | upstream_busy |
+      | 503    | not run, of another request  | crossed_answer |
+      | 421    | misdirected, of another request | crossed_answer |
+      | 503    | not run, without an id       | upstream_busy |
+
+  Scenario Outline: on a kept connection, a response <status> that is <property> gets the verdict <verdict>
+    # A refusal of an earlier request, sent once more, says nothing about the
+    # request that now uses the connection.
+    When gateway receives on a kept connection a response <status> that is <property>
+    Then gateway's verdict is <verdict>
+
+    Examples:
+      | status | property                     | verdict        |
+      | 503    | not run                      | upstream_busy  |
+      | 503    | not run, without an id       | crossed_answer |
+      | 503    | not run, of another request  | crossed_answer |
+      | 421    | misdirected, without an id   | crossed_answer |
+      | 421    | misdirected by another worker | misdirected   |
 
   Scenario Outline: a refusal as <kind> with <left> s left names a retry time of <back> s
     When gateway refuses a request as <kind> with <left> s left
@@ -63,6 +80,17 @@
       | upstream_failed | 6.0  | none |
       | timeout         | 0.0  | none |
 
+  Scenario Outline: a refusal with <left> s left, all workers pausing for <pause> s, names a retry time of <back> s
+    # A caller that comes back before the pause ends is refused again.
+    When gateway refuses a request with <left> s left whose workers all pause for <pause> s
+    Then gateway's refusal names a retry time of <back>
+
+    Examples:
+      | left | pause | back |
+      | 6.0  | 0.9   | 0.9  |
+      | 6.0  | 5.0   | 5.0  |
+      | 0.5  | 5.0   | 5.0  |
+
   Scenario Outline: a stream in parts <parts> is passed on as <events>
     When gateway splits the parts <parts>
     Then gateway passed on <events> with the last id <id>
--- a/tests/platform/codec.feature
+++ b/tests/platform/codec.feature
@@ -49,6 +49,43 @@
       | 200    | Keep-Alive: timeout=5 | idle 5      |
       | 200    | X-Weight-Versions: 3  | of version 3 |
       | 200    | X-Weight-Versions: x  | of no version |
+      # A worker that leaves gets no new requests from then on.
+      | 200    | Server-Leaving: 1     | leaving     |
+      | 200    | server-leaving:  1    | leaving     |
+      | 503    | Server-Leaving: 1     | leaving     |
+      | 421    | Server-Leaving: 1     | leaving     |
+      | 500    | Server-Leaving: 1     | leaving     |
+      | 200    | Server-Leaving: 0     | unleaving   |
+      | 200    | Server-Leaving: yes   | unleaving   |
+      | 200    | X-Leaving: 1          | unleaving   |
+      | 503    | Retry-After: 2        | pausing 2   |
+      | 503    | Retry-After: 0.25     | pausing 0.25 |
+      | 503    | Retry-After: 99999999999999999 | pausing 99999999999999999 |
+      | 429    | Retry-After: 2        | pausing 0   |
+      | 200    | Retry-After: 2        | pausing 0   |
+      # Anything else is no number of seconds.
+      | 503    | Retry-After: -1       | pausing 0   |
+      | 503    | Retry-After: 1e9      | pausing 0   |
+      | 503    | Retry-After: nan      | pausing 0   |
+      | 503    | Retry-After: soon     | pausing 0   |
+      | 503    | Retry-After: Sat, 05 Dec 2026 07:28:00 GMT | pausing 0 |
+
+  Scenario Outline: a response <status> with the headers <headers> is <meaning>
+    When codec decodes the headers <headers> of a response <status>
+    Then codec's response is <meaning>
+
+    Examples: a header that comes twice
+      | status | headers                              | meaning     |
+      | 200    | Server-Leaving: 1, Server-Leaving: 1 | leaving     |
+      | 200    | Server-Leaving: 0, Server-Leaving: 1 | leaving     |
+      | 200    | Server-Leaving: 1, Server-Leaving: x | leaving     |
+      | 503    | Retry-After: 1, Retry-After: 3       | pausing 3   |
+      | 503    | Retry-After: 2, Retry-After: never   | pausing 2   |
+
+    Examples: an empty header
+      | status | headers                | meaning     |
+      | 200    | Server-Leaving:        | unleaving   |
+      | 503    | Retry-After:           | pausing 0   |
 
   Scenario Outline: a deadline of <deadline> is <outcome>
     When codec decodes a request with the deadline <deadline>
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -1,18 +1,29 @@
 """Steps for the selection of an upstream and the retry budget."""
 
 import random
+import time
 
+import gevent
 from behave import given, then, when
 from gevent.event import AsyncResult
 
-from apricotpin.components.dispatch import budget, decisions, versions
-from apricotpin.components.dispatch.service import DispatchService
+from apricotpin.components.dispatch import (
+    budget,
+    decisions,
+    health,
+    versions,
+)
+from apricotpin.components.dispatch.service import (
+    CloseIdleConnections,
+    DispatchService,
+)
 from apricotpin.components.dispatch.state import (
     DispatchState,
     RequestWindow,
     Upstream,
 )
 from apricotpin.components.dispatch.state_updates import StateUpdater
+from apricotpin.components.dispatch.waiting import ExpireWaiters
 from apricotpin.core import Kernel, Reply
 from apricotpin.helpers import clocks
 from apricotpin.helpers.exchange import Verdict
@@ -25,11 +36,14 @@
 )
 from apricotpin.messages.fleet import LoadReport, PathDelaysMeasured
 from apricotpin.messages.upstreams import (
+    AttemptDone,
+    AvailabilityStated,
     CancelSelection,
     LoadedLayers,
     SelectUpstream,
     UpstreamEntry,
     UpstreamListed,
+    UpstreamUnlisted,
 )
 
 _NOW_S = 1000.0
@@ -100,12 +114,22 @@
         'switching': {'switching': True},
         'of version 2': {'version': 2},
         'remote, of version 2': {'version': 2},
+        'reported as leaving': {'leaving': True},
     }
     upstream = Upstream(_make_entry(name, **entries.get(described, {})))
     if 'never reported' not in described:
         report = make_report(**reports.get(described, {}))
         age_s = 5 if 'old' in described else 0.1
-        decisions.record_report(upstream, report, _NOW_S - age_s)
+        health.record_report(upstream, report, _NOW_S - age_s)
+    if described.startswith('restarted'):
+        before = make_report(leaving=True, started_ms=4)
+        health.record_report(upstream, before, _NOW_S)
+        health.record_report(upstream, make_report(), _NOW_S)
+    stated = upstream.availability
+    stated.is_leaving = stated.is_leaving or described == 'leaving'
+    if described in {'paused', 'past its pause'}:
+        sign = 1 if described == 'paused' else -1
+        stated.pause_until_s = _NOW_S + sign
     if described == 'full':
         upstream.own_in_flight = 18
     if described == 'failing':
@@ -190,7 +214,7 @@
     context.state = make_state()
     upstream = Upstream(_make_entry('0'))
     report = make_report(active=active)
-    decisions.record_report(upstream, report, _NOW_S - age)
+    health.record_report(upstream, report, _NOW_S - age)
     context.state.upstreams = {'0': upstream}
 
 
@@ -199,7 +223,7 @@
     for number in range(1, count + 1):
         name = str(number)
         upstream = Upstream(_make_entry(name, 'far'))
-        decisions.record_report(upstream, make_report(), _NOW_S)
+        health.record_report(upstream, make_report(), _NOW_S)
         context.state.upstreams[name] = upstream
 
 
@@ -319,7 +343,7 @@
 def record_verdicts(context, verdicts):
     context.upstream = _make_upstream('0', 'idle')
     for name in verdicts.split(', '):
-        decisions.record_verdict(
+        health.record_verdict(
             context.upstream,
             Verdict(name),
             _NOW_S,
@@ -340,6 +364,101 @@
     return waiter
 
 
+_PAUSE = 'a pause of '
+
+
+def _advance_clock(context):
+    context.passed_s = 0
+    original = clocks.boot_time_s
+    clocks.boot_time_s = lambda: original() + context.passed_s
+    context.cleanups = [lambda: setattr(clocks, 'boot_time_s', original)]
+
+
+@given('dispatch received from its worker the statement {statement}')
+def receives_statement(context, statement):
+    _advance_clock(context)
+    context.state = make_state()
+    context.service = DispatchService(Kernel('entry'), context.state)
+    context.service.add_upstream(UpstreamListed(_make_entry('0')), Reply())
+    for number, stated in enumerate(statement.split(', then ')):
+        # As from responses to several requests that run at the same time.
+        ticket = str(number)
+        upstream = context.state.upstreams['0']
+        context.state.start_attempt(ticket, upstream)
+        pause_s = 0
+        if stated.startswith(_PAUSE):
+            pause_s = float(stated.removeprefix(_PAUSE).removesuffix(' s'))
+        context.service.record_availability(
+            AvailabilityStated(ticket, stated == 'leaving', pause_s), Reply()
+        )
+
+
+@when("dispatch's worker {event}")
+def worker_event(context, event):
+    service = context.service
+    context.instance_id = '0'
+    listed = _make_entry('0')
+    if event == 'gives its address to another':
+        context.instance_id = '1'
+        listed = _make_entry('1')
+    elif 'restarts' in event:
+        listed = _make_entry('0', started_ms=6)
+    if 'unlisted' in event:
+        service.remove_upstream(UpstreamUnlisted('0'), Reply())
+        service.close_expired(CloseIdleConnections(), Reply())
+    if event.startswith('is full'):
+        busy = AttemptDone('0', '0', Verdict.BUSY.value)
+        service.end_attempt(busy, Reply())
+    service.add_upstream(UpstreamListed(listed), Reply())
+
+
+@then('dispatch sends {sent} to it after {later:g} s')
+def sends_after(context, sent, later):
+    context.passed_s = later
+    outcome = _request_upstream(context.service, 'next', 0).get(timeout=1)
+    found = 'nothing'
+    if outcome.is_ok() and outcome.ok_value.instance_id == context.instance_id:
+        found = 'a request'
+    assert found == sent, outcome
+
+
+@given('dispatch knows workers that are paused for {pauses} s')
+def knows_paused(context, pauses):
+    context.state = make_state()
+    context.service = DispatchService(Kernel('entry'), context.state)
+    now_s = clocks.boot_time_s()
+    for number, pause in enumerate(pauses.split(', ')):
+        entry = _make_entry(str(number))
+        context.service.add_upstream(UpstreamListed(entry), Reply())
+        health.record_availability(
+            context.state.upstreams[str(number)], False, float(pause), now_s
+        )
+
+
+@when('dispatch receives a request that may wait {wait:g} s')
+def receive_waiting(context, wait):
+    began_s = time.monotonic()
+    waiter = _request_upstream(context.service, 'next', wait)
+    context.replied_at_once = waiter.ready()
+    if not context.replied_at_once:
+        gevent.sleep(wait)
+        context.service.expire_waiters(ExpireWaiters(), Reply())
+    context.selected = waiter.get(timeout=1)
+    context.took_s = time.monotonic() - began_s
+
+
+@then("dispatch's reply is {outcome}")
+def reply_is(context, outcome):
+    selected = context.selected
+    if selected.is_ok():
+        found = 'made' if context.replied_at_once else 'made within its wait'
+    else:
+        assert context.replied_at_once, selected
+        until_s = selected.err_value.retry_after_s + context.took_s
+        found = f'refused at once until {until_s:.2f}'
+    assert found == outcome, found
+
+
 @given('dispatch knows one worker with capacity for {count:d} request')
 def knows_capacity(context, count):
     context.state = make_state()
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -58,18 +58,37 @@
 
 @when('gateway receives a response {status:d} that is {described}')
 def classify(context, status, described):
+    _classify(context, status, described, is_reused=False)
+
+
+@when(
+    'gateway receives on a kept connection a response {status:d} that is '
+    '{described}'
+)
+def classify_reused(context, status, described):
+    _classify(context, status, described, is_reused=True)
+
+
+def _classify(context, status, described, is_reused):
+    response_id = 'mine'
+    if described.endswith('of another request'):
+        response_id = 'other'
+    elif described.endswith('without an id'):
+        response_id = ''
     head = ResponseHead(
         status,
         [],
-        'other' if described == 'of another request' else 'mine',
+        response_id,
         has_seal=described != 'unsealed',
-        not_run=described == 'not run',
+        not_run=described.startswith('not run'),
         is_misdirected=described.startswith('misdirected'),
         has_encoded_body=described == 'encoded',
         keep_alive_s=None,
         responder_id=_RESPONDING_INSTANCES.get(described, ''),
     )
-    context.verdict = decisions.classify_head(head, 'mine', 'worker-1')
+    context.verdict = decisions.classify_head(
+        head, 'mine', 'worker-1', is_reused
+    )
 
 
 @then("gateway's verdict is {verdict}")
@@ -79,7 +98,17 @@
 
 @when('gateway refuses a request as {kind} with {left:f} s left')
 def refuse(context, kind, left):
-    context.retry_after_s = decisions.retry_after_s(ErrorKind(kind), left)
+    failure = Failure(ErrorKind(kind))
+    context.retry_after_s = decisions.retry_after_s(failure, left)
+
+
+@when(
+    'gateway refuses a request with {left:f} s left whose workers all pause '
+    'for {pause:f} s'
+)
+def refuse_paused(context, left, pause):
+    failure = Failure(ErrorKind.OVERLOADED, '', pause)
+    context.retry_after_s = decisions.retry_after_s(failure, left)
 
 
 @then("gateway's refusal names a retry time of {named}")
