Decode odd records, pages and datagrams without ending what reads them

Cause: a record nested 5,000 deep raised RecursionError out of the decoder, and a malformed page of the store ended the greenlet that reads the feed, so that the list of workers was not read again. A host record or a datagram with a port above 65,535 made all later hellos fail. Slots below 1, ports written as 8_0 and names of a megabyte were accepted. Headers with superscript digits or thousands of digits ended a request with status 500.

--- a/apricotpin/components/follower/feed_reads.py
+++ b/apricotpin/components/follower/feed_reads.py
@@ -203,7 +203,7 @@
     received: FeedRecords = called.ok_value
     if received.fault:
         return Err(
-            Failure(ErrorKind(received.fault), f'read_feed at {address}')
+            Failure(_to_error_kind(received.fault), f'read_feed at {address}')
         )
     try:
         records = [
@@ -221,6 +221,14 @@
     return kernel.call(SERVICE_STORE, request)
 
 
+def _to_error_kind(fault: str) -> ErrorKind:
+    """Return the kind that a peer names; one of another version may differ."""
+    try:
+        return ErrorKind(fault)
+    except ValueError:
+        return ErrorKind.PEER_UNAVAILABLE
+
+
 def read_for_peer(kernel: Kernel, message: ReadFeed, reply: Reply) -> None:
     """Read a feed from the store for another entry host.
 
@@ -229,7 +237,11 @@
     cached here.
     """
     wait_s = message.wait_ms / 1000
-    feed = Feed(message.feed)
+    try:
+        feed = Feed(message.feed)
+    except ValueError:
+        reply.err(ErrorKind.BAD_REQUEST, f'no feed is named {message.feed!r}')
+        return
     if message.offset == const.CACHE_OFFSET:
         reply.forward(
             kernel.call(SERVICE_CONFIGURATION, GetCachedRecords(feed))
--- a/apricotpin/components/presence/datagrams.py
+++ b/apricotpin/components/presence/datagrams.py
@@ -6,7 +6,7 @@
 from gevent import socket
 from loguru import logger
 
-from apricotpin.components.presence import const
+from apricotpin.components.presence import const, decisions
 from apricotpin.const import SERVICE_PRESENCE
 from apricotpin.core import Kernel
 from apricotpin.helpers.addresses import Address
@@ -54,5 +54,5 @@
             # The error of an earlier send to an address without a listener.
             continue
         payload = decode_datagram(datagram)
-        if payload is not None:
+        if payload is not None and decisions.is_usable(payload):
             kernel.send(SERVICE_PRESENCE, DatagramReceived(payload))
--- a/apricotpin/components/presence/decisions.py
+++ b/apricotpin/components/presence/decisions.py
@@ -1,12 +1,27 @@
 """Decide on time-outs, receivers of reports, and the order of switches."""
 
 from collections.abc import Iterable
+from typing import Final
 
 from apricotpin.components.presence import const
+from apricotpin.helpers.addresses import Address
 from apricotpin.messages.desired import DesiredState
 from apricotpin.messages.fleet import EntryHello, LoadReport
 
 
+# Fields of a hello without which it can't be used, and fields of a report that
+# earlier versions do not send.
+_HELLO_FIELDS: Final = (
+    'host_id',
+    'peer_address',
+    'data_centre',
+    'targets',
+    'config_version',
+    'sent_ms',
+)
+_OPTIONAL_FIELDS: Final = frozenset(('installing', 'leaving'))
+
+
 class LastMessage:
     """Hold the last message of a host and its time of receipt.
 
@@ -22,6 +37,32 @@
         self.received_s = received_s
 
 
+def is_usable(message: EntryHello | LoadReport) -> bool:
+    """Return whether a received message has its fields and valid addresses.
+
+    A sender of another version may leave out fields, which are then None. A
+    message is kept and used at each later tick, so an invalid one would make
+    all of them fail.
+    """
+    is_report = isinstance(message, LoadReport)
+    required = message.__slots__ if is_report else _HELLO_FIELDS
+    if any(
+        getattr(message, field) is None
+        for field in required
+        if field not in _OPTIONAL_FIELDS
+    ):
+        return False
+    addresses = [message.peer_address]
+    if is_report:
+        addresses.append(message.address)
+    try:
+        for address in addresses:
+            Address.from_ipv4_text(address)
+    except ValueError:
+        return False
+    return True
+
+
 def remove_silent(
     last_messages: dict[str, LastMessage],
     timeout_s: float,
--- a/apricotpin/platform/http_client.py
+++ b/apricotpin/platform/http_client.py
@@ -12,6 +12,7 @@
     PooledHttpClient,
     RequestLimits,
 )
+from apricotpin.platform.entries import DECODE_ERRORS
 
 # A worker may delay a request while it is full; a piece of 32 KiB from the
 # origin takes about 30 ms, and longer while other hosts read from it.
@@ -81,5 +82,5 @@
         return Err(Failure(kind, f'status {response.status}'))
     try:
         return Ok(decode(response))
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        return Err(Failure(kind, repr(error)))
+    except DECODE_ERRORS as error:
+        return Err(Failure(kind, f'{error!r:.200}'))
--- a/apricotpin/platform/operator_documents.py
+++ b/apricotpin/platform/operator_documents.py
@@ -9,6 +9,7 @@
 from apricotpin.platform.entries import (
     as_integer,
     as_non_empty_string,
+    as_number,
     decode_entry,
 )
 
@@ -54,7 +55,9 @@
     splits = fields.get('traffic_split')
     if splits:
         parts = tuple(
-            desired.TrafficSplit(part['service'], part['weight'])
+            desired.TrafficSplit(
+                as_non_empty_string(part['service']), as_number(part['weight'])
+            )
             for part in splits
         )
     else:
@@ -62,16 +65,16 @@
             desired.TrafficSplit(as_non_empty_string(fields['service']), 1),
         )
     return desired.Route(
-        name=fields['name'],
-        host=fields['hostname'],
-        path_prefix=fields['path_prefix'],
+        name=as_non_empty_string(fields['name']),
+        host=as_non_empty_string(fields['hostname']),
+        path_prefix=as_non_empty_string(fields['path_prefix']),
         kind=_ROUTE_KINDS[fields['route_type']],
         splits=parts,
-        timeout_s=fields['timeout_ms'] / _MS_PER_S,
-        latency_goal_s=fields['goal_ms'] / _MS_PER_S,
-        event_gap_goal_s=fields.get('gap_target_ms', 0) / _MS_PER_S,
-        max_attempts=fields.get('max_attempts', 1),
-        priority=fields.get('priority', _DEFAULT_PRIORITY),
+        timeout_s=as_number(fields['timeout_ms']) / _MS_PER_S,
+        latency_goal_s=as_number(fields['goal_ms']) / _MS_PER_S,
+        event_gap_goal_s=as_number(fields.get('gap_target_ms', 0)) / _MS_PER_S,
+        max_attempts=as_integer(fields.get('max_attempts', 1)),
+        priority=as_integer(fields.get('priority', _DEFAULT_PRIORITY)),
         anonymous=bool(fields.get('anonymous')),
         resumable=bool(fields.get('resumable')),
     )
@@ -94,11 +97,11 @@
     model = fields['models'][0]
     return desired.Engine(
         model=as_non_empty_string(model['name']),
-        slots=fields['slots'],
-        layers=fields.get('layers', 1),
-        chunks=fields.get('chunks', 0),
-        chunk_bytes=fields.get('chunk_bytes', 0),
-        warm_up_s=model.get('warm_s', 0),
+        slots=as_integer(fields['slots']),
+        layers=as_integer(fields.get('layers', 1)),
+        chunks=as_integer(fields.get('chunks', 0)),
+        chunk_bytes=as_integer(fields.get('chunk_bytes', 0)),
+        warm_up_s=as_number(model.get('warm_s', 0)),
     )
 
 
--- a/apricotpin/platform/store.py
+++ b/apricotpin/platform/store.py
@@ -5,10 +5,11 @@
 from typing import Any, Final
 
 from gevent.queue import Queue
-from result import Result
+from loguru import logger
+from result import Err, Result
 
 from apricotpin.core import Kernel, Reply
-from apricotpin.errors import Failure
+from apricotpin.errors import ErrorKind, Failure
 from apricotpin.messages.feeds import (
     DecodeRecords,
     Feed,
@@ -87,9 +88,17 @@
 
 def _process_requests(queue: Queue, client: StoreClient) -> None:
     for request in queue:
-        request.reply.forward(
-            _ACTIONS[type(request.message)](client, request.message)
-        )
+        request.reply.forward(_process(client, request.message))
+
+
+def _process(client: StoreClient, message: Any) -> Result[Any, Failure]:
+    try:
+        return _ACTIONS[type(message)](client, message)
+    except Exception as error:
+        # One response that fails must not end the greenlet of the feed.
+        logger.opt(exception=True).error('store_request_failed')
+        client.close()
+        return Err(Failure(ErrorKind.INTERNAL, f'{error!r:.200}'))
 
 
 def _read_snapshot(
--- a/apricotpin/platform/store_client.py
+++ b/apricotpin/platform/store_client.py
@@ -10,6 +10,7 @@
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.http import HttpRequest, PooledHttpClient, RequestLimits
 from apricotpin.platform import names
+from apricotpin.platform.entries import DECODE_ERRORS
 
 # The store responds within a few ms, or a few hundred ms when it is slow.
 RESPONSE_TIMEOUT_S: Final = 1.5
@@ -69,8 +70,12 @@
             outcome = self._call('GET', path + after)
             if outcome.is_err():
                 return outcome
-            page = json.loads(outcome.ok_value)
-            last_key = _add_newest(snapshot, page)
+            try:
+                page = json.loads(outcome.ok_value)
+                last_key = _add_newest(snapshot, page)
+            except DECODE_ERRORS as error:
+                detail = f'GET {path}: malformed page: {error!r:.200}'
+                return Err(Failure(ErrorKind.LOG_UNAVAILABLE, detail))
             if not page.get('has_more') or not last_key:
                 return Ok(snapshot)
             after = f'&after={last_key}'
--- a/apricotpin/platform/worker_documents.py
+++ b/apricotpin/platform/worker_documents.py
@@ -7,12 +7,14 @@
 from apricotpin.messages.upstreams import LoadedLayers, UpstreamEntry
 from apricotpin.platform import names
 from apricotpin.platform.entries import (
+    as_address,
     as_integer,
     as_non_empty_string,
     decode_entry,
 )
 
-_PORT_MAX: Final = 65535
+# More than any worker has. Limits of queues are computed from this number.
+_SLOTS_MAX: Final = 100000
 
 
 def decode_upstream_record(key: str, content: bytes) -> FeedEntry:
@@ -78,18 +80,12 @@
     state = fields['state']
     if state not in {names.STATE_READY, names.STATE_DRAINING}:
         raise ValueError(f'state is {state!r}, expected ready or draining')
-    address = as_non_empty_string(fields['address'])
-    port = int(address.rpartition(':')[2])
-    if not 0 < port <= _PORT_MAX:
-        raise ValueError(
-            f'address {address!r} has no port from 1 to {_PORT_MAX}'
-        )
     return UpstreamEntry(
         instance_id=key,
         service=as_non_empty_string(fields['service']),
-        address=address,
+        address=as_address(fields['address']),
         data_centre=as_non_empty_string(fields['zone']),
-        slots=as_integer(fields['slots']),
+        slots=as_integer(fields['slots'], 1, _SLOTS_MAX),
         draining=state == names.STATE_DRAINING,
         started_ms=as_integer(fields.get('born', 0)),
         loaded=decode_loaded_layers(fields),
@@ -99,6 +95,6 @@
 def _decode_host(key: str, fields: dict[str, Any]) -> EntryHost:
     return EntryHost(
         key,
-        as_non_empty_string(fields['peer_address']),
+        as_address(fields['peer_address']),
         as_non_empty_string(fields['data_centre']),
     )
--- a/tests/components/presence/groups.feature
+++ b/tests/components/presence/groups.feature
@@ -87,3 +87,26 @@
       | 1     | 0      | 1         | 1       |
       | 3     | 4      | 4         | 4       |
       | 13    | 25     | 10        | 7       |
+
+  Scenario Outline: a <kind> with <field> = <content> is <fate>
+    # A message is kept and used at each tick. One that can't be used would
+    # end the hellos to all hosts, not only to its sender.
+    When presence receives a <kind> with <field> = <content>
+    Then presence <fate> the message
+
+    Examples:
+      | kind   | field        | content         | fate  |
+      | hello  | peer_address | 10.0.0.1:7700   | uses  |
+      | hello  | peer_address | 10.0.0.1:65535  | uses  |
+      | hello  | peer_address | 10.0.0.1:65536  | drops |
+      | hello  | peer_address | 10.0.0.1:0      | drops |
+      | hello  | peer_address | 10.0.0.1        | drops |
+      | hello  | peer_address | host.test:7700  | drops |
+      | hello  | peer_address | nothing         | drops |
+      | hello  | host_id      | nothing         | drops |
+      | hello  | targets      | nothing         | drops |
+      | report | address      | 10.0.0.1:65536  | drops |
+      | report | peer_address | nothing         | drops |
+      | report | active       | nothing         | drops |
+      # An agent of an earlier version does not send this field.
+      | report | leaving      | nothing         | uses  |
--- a/tests/platform/documents.feature
+++ b/tests/platform/documents.feature
@@ -24,6 +24,65 @@
       | born = "yesterday"    |
       | truncated bytes       |
       | a list                |
+      | extra = lists nested 5000 deep |
+      | extra = objects nested 5000 deep |
+      | models = lists nested 5000 deep |
+      | address = "10.0.0.1:0" |
+      | address = "10.0.0.1:65536" |
+      | address = "10.0.0.1:-80" |
+      | address = "10.0.0.1: 80" |
+      | address = "10.0.0.1:8_0" |
+      | address = "10.0.0.1:\u0668\u0660" |
+      | address = a port of 400 digits |
+      | address = a port of 5000 digits |
+      | address = ":80"       |
+      | address = "10.0.0:80" |
+      | address = "worker.example:80" |
+      | address = a megabyte  |
+      | service = a megabyte  |
+      | service = "\ud800"    |
+      | zone = a megabyte     |
+      | slots = -8            |
+      | slots = 0             |
+      | slots = 1.5           |
+      | slots = true          |
+      | slots = 100001        |
+      | slots = a number of 400 digits |
+      | slots = a number of 5000 digits |
+      | slots = 1e400         |
+      | born = -1             |
+      | born = a number of 400 digits |
+      | born = 1e400          |
+      | layers = [{"source": 0, "to": 4, "version": 9223372036854775808}] |
+
+  Scenario Outline: a page with a worker's record with <fault> gives the other records
+    Given a platform page with workers and a record with <fault>
+    When platform decodes the page
+    Then platform decoded each of the other workers
+    And platform's decode error is at most 200 characters long
+
+    Examples:
+      | fault                          |
+      | extra = lists nested 5000 deep |
+      | slots = a number of 5000 digits |
+      | address = "10.0.0.1:65536"     |
+      | service = a megabyte           |
+
+  Scenario Outline: the store service goes on after a page that <fault>
+    # The greenlet of a feed ended with an error, and the list was never read
+    # again.
+    Given a platform store whose first page <fault>
+    When platform reads the list of workers twice
+    Then platform's first read fails, and the second returns the workers
+
+    Examples:
+      | fault                    |
+      | is truncated             |
+      | is nested 5000 deep      |
+      | is a list                |
+      | has no end offset        |
+      | has a value that is not base64 |
+      | has items that are numbers |
 
   Scenario Outline: a worker's record with <detail> reports layers <layers> of version <version>
     Given a platform worker record with <detail>
@@ -52,6 +111,10 @@
       | routes = null                |
       | services = [{}]              |
       | truncated bytes              |
+      | extra = lists nested 5000 deep |
+      | version = 1e400              |
+      | version = -1                 |
+      | routes = [{"name": "r"}]     |
 
   Scenario Outline: settings with <fault> are refused at the path <path>
     Given platform settings with <fault>
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -1,5 +1,6 @@
 """Steps for the adapter to the platform."""
 
+import base64
 import json
 import pathlib
 import shutil
@@ -8,6 +9,7 @@
 import yaml
 from behave import given, then, when
 from gevent.event import AsyncResult
+from gevent.pywsgi import WSGIServer
 
 from apricotpin.core import Kernel, Reply
 from apricotpin.messages.feeds import (
@@ -15,6 +17,7 @@
     Feed,
     FeedRecord,
     FeedRecords,
+    ReadSnapshot,
 )
 from apricotpin.messages.requests import AttemptContext
 from apricotpin.platform import call_codec
@@ -63,13 +66,28 @@
 }
 
 
+_NESTED = 5000
+_ODD_TEXTS = {
+    'lists nested 5000 deep': '[' * _NESTED + ']' * _NESTED,
+    'objects nested 5000 deep': '{"a":' * _NESTED + '1' + '}' * _NESTED,
+    'a port of 400 digits': '"10.0.0.1:{0}"'.format('8' * 400),
+    'a port of 5000 digits': '"10.0.0.1:{0}"'.format('8' * 5000),
+    'a megabyte': '"{0}"'.format('x' * 1048576),
+    'a number of 400 digits': '8' * 400,
+    'a number of 5000 digits': '8' * 5000,
+}
+
+
 def _changed(fields, change):
     if change == 'truncated bytes':
         return json.dumps(fields).encode()[:-9]
     if change == 'a list':
         return b'[1]'
     name, _, text = change.partition(' = ')
-    return json.dumps({**fields, name: json.loads(text)}).encode()
+    # The text is inserted as it is: json.loads() would refuse some of them.
+    others = {key: found for key, found in fields.items() if key != name}
+    head = json.dumps(others)[:-1]
+    return f'{head}, "{name}": {_ODD_TEXTS.get(text, text)}}}'.encode()
 
 
 @given('a platform worker record with {change}')
@@ -118,6 +136,87 @@
     context.records = DecodeRecords(feed, FeedRecords(count, records))
 
 
+@given('a platform page with workers and a record with {change}')
+def page_with_odd_record(context, change):
+    records = [
+        FeedRecord('i-1', json.dumps(_WORKER).encode()),
+        FeedRecord('i-2', _changed(_WORKER, change)),
+        FeedRecord('i-3', json.dumps(_WORKER).encode()),
+    ]
+    context.records = DecodeRecords(Feed.UPSTREAMS, FeedRecords(3, records))
+
+
+@then('platform decoded each of the other workers')
+def decoded_others(context):
+    found = [entry.decoded is not None for entry in context.page.entries]
+    assert found == [True, False, True], found
+
+
+@then("platform's decode error is at most {count:d} characters long")
+def error_length(context, count):
+    assert 0 < len(context.page.entries[1].decode_error) <= count
+
+
+def _newest_page(fault=''):
+    workers = [
+        {
+            'key': 'i-1',
+            'value': base64.b64encode(json.dumps(_WORKER).encode()).decode(),
+            'offset': 4,
+        }
+    ]
+    page = {'items': workers, 'has_more': False, 'end_offset': 5}
+    if fault == 'has no end offset':
+        del page['end_offset']
+    elif fault == 'has a value that is not base64':
+        page['items'] = [{'key': 'i-1', 'value': 'abc'}]
+    elif fault == 'has items that are numbers':
+        page['items'] = [1, 2]
+    elif fault == 'is a list':
+        page = [page]
+    text = json.dumps(page)
+    if fault == 'is truncated':
+        text = text[:-9]
+    elif fault == 'is nested 5000 deep':
+        text = _ODD_TEXTS['lists nested 5000 deep']
+    return text.encode()
+
+
+@given('a platform store whose first page {fault}')
+def store_with_fault(context, fault):
+    pages = [_newest_page(fault), _newest_page()]
+
+    def respond(_environ, start_response):
+        body = pages.pop(0)
+        start_response('200 OK', [('Content-Length', str(len(body)))])
+        return [body]
+
+    server = WSGIServer(('127.0.0.1', 0), respond, log=None)
+    server.start()
+    kernel = Kernel('entry')
+    address = f'127.0.0.1:{server.server_port}'
+    context.service = StoreService(kernel, address)
+    context.cleanups = [server.stop, kernel.stop]
+
+
+@when('platform reads the list of workers twice')
+def read_twice(context):
+    context.pages = []
+    for _ in range(2):
+        result = AsyncResult()
+        context.service.read(ReadSnapshot(Feed.UPSTREAMS), Reply(result))
+        assert result.wait(2) is not None, 'no reply to a read'
+        context.pages.append(result.get())
+
+
+@then("platform's first read fails, and the second returns the workers")
+def second_read_returns(context):
+    first, second = context.pages
+    assert first.is_err(), first
+    found = [entry.key for entry in second.ok_value.entries]
+    assert found == ['i-1'], second
+
+
 @when('platform decodes the page')
 def decode_page(context):
     result = AsyncResult()
@@ -149,7 +248,8 @@
 def decodes_layers(context, layers, version):
     loaded = context.entry.decoded.loaded
     if layers == 'none':
-        assert loaded == (), loaded
+        assert isinstance(loaded, tuple), loaded
+        assert not loaded, loaded
         return
     part = loaded[0]
     assert f'{part.start}-{part.end}' == layers
@@ -228,6 +328,19 @@
     context.response = call_codec.decode_response(status, [(name, text)])
 
 
+@when('codec decodes the headers {headers} of a response {status:d}')
+def decode_response_headers(context, headers, status):
+    pairs = [header.partition(':') for header in headers.split(', ')]
+    context.response = call_codec.decode_response(
+        status, [(name, text.strip()) for name, _, text in pairs]
+    )
+
+
+@then("codec's response is pausing {pause:g}")
+def response_pauses(context, pause):
+    assert context.response.pause_s == pause, context.response.pause_s
+
+
 @then("codec's response is {meaning}")
 def response_is(context, meaning):
     response = context.response
@@ -239,8 +352,9 @@
         'idle 5': response.keep_alive_s == 5,
         'of version 3': response.version == 3,
         'of no version': response.version == 0,
+        'leaving': response.is_leaving,
     }
-    expected = meaning != 'unsealed'
+    expected = not meaning.startswith('un')
     assert found[meaning.removeprefix('un')] == expected
 
 
--- a/tests/steps/presence_steps.py
+++ b/tests/steps/presence_steps.py
@@ -152,3 +152,27 @@
             for hello in decisions.select_receivers(context.hellos, 'a', count)
         }
         assert len(reached) == len(context.hellos), reached
+
+
+def _make_hello(**changed):
+    fields = {
+        'host_id': 'edge-1',
+        'peer_address': '10.0.0.9:7700',
+        'data_centre': 'near',
+        'targets': [],
+    }
+    return EntryHello(**{**fields, **changed})
+
+
+@when('presence receives a {kind} with {field} = {content}')
+def receive_with(context, kind, field, content):
+    make = _make_hello if kind == 'hello' else make_report
+    sent = make()
+    setattr(sent, field, None if content == 'nothing' else content)
+    received = decode_datagram(encode_datagram(sent))
+    context.is_used = received is not None and decisions.is_usable(received)
+
+
+@then('presence {fate} the message')
+def check_fate(context, fate):
+    assert context.is_used == (fate == 'uses')
