Index upstreams by service and address, and let requests wait by service

Cause: each load report searched all upstreams for its address, each selection all upstreams for its service, and each report tried the first waiting request of all services; the ones behind a request that could not be sent were not tried, also where they wait for another service.

Change: a table of upstreams with indexes; waiting requests are held by service and tried when something of that service changes. A retry that fails does not hold up the requests behind it.

--- a/apricotpin/components/dispatch/connections.py
+++ b/apricotpin/components/dispatch/connections.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from apricotpin.components.dispatch import const
-from apricotpin.components.dispatch.state import IdleConnection
+from apricotpin.components.dispatch.upstream import IdleConnection
 from apricotpin.helpers.exchange import is_open_and_idle
 from apricotpin.messages.upstreams import AttemptDone
 
--- a/apricotpin/components/dispatch/decisions.py
+++ b/apricotpin/components/dispatch/decisions.py
@@ -6,7 +6,8 @@
 from result import Err, Ok, Result
 
 from apricotpin.components.dispatch import const, health, load, versions
-from apricotpin.components.dispatch.state import DispatchState, Upstream
+from apricotpin.components.dispatch.state import DispatchState
+from apricotpin.components.dispatch.upstream import Upstream
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.messages.desired import Engine
 
@@ -29,9 +30,8 @@
     engine = state.get_engine(service)
     eligible = [
         upstream
-        for upstream in state.upstreams.values()
-        if upstream.entry.service == service
-        and upstream.entry.instance_id not in tried
+        for upstream in state.upstreams.of_service(service)
+        if upstream.entry.instance_id not in tried
         and is_eligible(state, upstream, engine, now_s)
     ]
     if not eligible:
@@ -122,8 +122,7 @@
     reasons = Counter(
         find_ineligible_reason(state, upstream, engine, now_s)
         or 'already tried'
-        for upstream in state.upstreams.values()
-        if upstream.entry.service == service
+        for upstream in state.upstreams.of_service(service)
     )
     counts = ', '.join(
         f'{number} {reason}' for reason, number in reasons.items()
--- a/apricotpin/components/dispatch/health.py
+++ b/apricotpin/components/dispatch/health.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 
 from apricotpin.components.dispatch import const, versions
-from apricotpin.components.dispatch.state import DispatchState, Upstream
+from apricotpin.components.dispatch.state import DispatchState
+from apricotpin.components.dispatch.upstream import Upstream
 from apricotpin.helpers.exchange import Verdict
 from apricotpin.messages.fleet import LoadReport
 from apricotpin.messages.upstreams import UpstreamEntry
--- a/apricotpin/components/dispatch/load.py
+++ b/apricotpin/components/dispatch/load.py
@@ -1,7 +1,8 @@
 """Estimate the load of upstreams from reports and this host's attempts."""
 
 from apricotpin.components.dispatch import budget, const, versions
-from apricotpin.components.dispatch.state import DispatchState, Upstream
+from apricotpin.components.dispatch.state import DispatchState
+from apricotpin.components.dispatch.upstream import Upstream
 
 
 def estimate_rate_from_others(
--- a/apricotpin/components/dispatch/service.py
+++ b/apricotpin/components/dispatch/service.py
@@ -15,15 +15,12 @@
     load,
     versions,
 )
-from apricotpin.components.dispatch.state import (
-    DispatchState,
-    Upstream,
-)
+from apricotpin.components.dispatch.state import DispatchState
+from apricotpin.components.dispatch.upstream import Upstream
 from apricotpin.components.dispatch.waiting import (
     ExpireWaiters,
     Waiter,
-    sort_by_priority,
-    split_expired,
+    WaitingRequests,
 )
 from apricotpin.const import SERVICE_DISPATCH
 from apricotpin.core import Kernel, Reply
@@ -53,7 +50,7 @@
     def __init__(self, kernel: Kernel, state: DispatchState) -> None:
         self._kernel = kernel
         self._state = state
-        self._waiters: list[Waiter] = []
+        self._waiters = WaitingRequests()
         self._backoff_s = jittered_backoff(
             const.BACKOFF_FIRST_S,
             const.BACKOFF_MAX_S,
@@ -73,9 +70,10 @@
         if known is None or not health.is_same_worker(known.entry, entry):
             self._close_and_drop(entry.instance_id)
             known = Upstream(entry)
+        self._state.upstreams.remove(entry.instance_id)
         known.entry = entry
-        self._state.upstreams[entry.instance_id] = known
-        self._serve_waiters()
+        self._state.upstreams.add(known)
+        self._serve_waiters(entry.service)
         reply.ok()
 
     def remove_upstream(
@@ -90,10 +88,9 @@
     def record_report(self, message: fleet.LoadReport, reply: Reply) -> None:
         """Record a load report on the worker at its address."""
         now_s = clocks.boot_time_s()
-        for upstream in self._state.upstreams.values():
-            if upstream.entry.address == message.address:
-                health.record_report(upstream, message, now_s)
-        self._serve_waiters()
+        for upstream in self._state.upstreams.at_address(message.address):
+            health.record_report(upstream, message, now_s)
+            self._serve_waiters(upstream.entry.service)
         reply.ok()
 
     def select_upstream(
@@ -110,7 +107,7 @@
             reply.forward(outcome)
             return
         expires_s = clocks.boot_time_s() + message.queue_timeout_s
-        self._waiters.append(Waiter(message, reply, expires_s))
+        self._waiters.add(Waiter(message, reply, expires_s))
         gevent.spawn_later(
             message.queue_timeout_s,
             self._kernel.send,
@@ -120,9 +117,7 @@
 
     def expire_waiters(self, _message: ExpireWaiters, reply: Reply) -> None:
         """Reply to the requests whose wait has expired, after a last try."""
-        waiting, expired = split_expired(self._waiters, clocks.boot_time_s())
-        self._waiters = waiting
-        for waiter in expired:
+        for waiter in self._waiters.pop_expired(clocks.boot_time_s()):
             waiter.reply.forward(self._select(waiter.message))
         reply.ok()
 
@@ -174,7 +169,7 @@
             # Another worker uses the address now, so the entry is out of date.
             self._remove(message.instance_id)
         connections.release(upstream.idle_connections, message, now_s)
-        self._serve_waiters()
+        self._serve_waiters(upstream.entry.service)
         reply.ok()
 
     def cancel_selection(
@@ -183,13 +178,10 @@
         reply: Reply,
     ) -> None:
         """Stop a selection from waiting, or end its attempt if it succeeded."""
-        self._waiters = [
-            waiter
-            for waiter in self._waiters
-            if waiter.message.ticket != message.ticket
-        ]
-        self._state.end_attempt(message.ticket)
-        self._serve_waiters()
+        self._waiters.cancel(message.ticket)
+        upstream = self._state.end_attempt(message.ticket)
+        if upstream is not None:
+            self._serve_waiters(upstream.entry.service)
         reply.ok()
 
     def close_expired(
@@ -198,7 +190,7 @@
         """Close expired idle connections and forget removed upstreams."""
         now_s = clocks.boot_time_s()
         health.forget_removed(self._state, now_s)
-        for upstream in self._state.upstreams.values():
+        for upstream in self._state.upstreams:
             connections.close_expired(upstream.idle_connections, now_s)
         reply.ok()
 
@@ -265,14 +257,15 @@
             upstream.entry.data_centre,
         )
 
-    def _serve_waiters(self) -> None:
-        for waiter in sort_by_priority(self._waiters):
+    def _serve_waiters(self, service: str) -> None:
+        for waiter in self._waiters.by_priority(service):
             outcome = self._select(waiter.message)
-            if outcome.is_err():
+            if outcome.is_ok():
+                self._waiters.remove(waiter)
+                waiter.reply.forward(outcome)
+            elif waiter.may_use_any_upstream:
                 # The remaining requests would find the same upstreams full.
                 break
-            self._waiters.remove(waiter)
-            waiter.reply.forward(outcome)
 
     def _remove(self, instance_id: str) -> None:
         upstream = self._close_and_drop(instance_id)
@@ -280,7 +273,7 @@
             health.remember_removed(self._state, upstream, clocks.boot_time_s())
 
     def _close_and_drop(self, instance_id: str) -> Upstream | None:
-        upstream = self._state.upstreams.pop(instance_id, None)
+        upstream = self._state.upstreams.remove(instance_id)
         if upstream is not None:
             connections.close_expired(upstream.idle_connections, float('inf'))
         return upstream
--- a/apricotpin/components/dispatch/versions.py
+++ b/apricotpin/components/dispatch/versions.py
@@ -1,7 +1,8 @@
 """Find the version an upstream has loaded, and its version deadline."""
 
 from apricotpin.components.dispatch import const
-from apricotpin.components.dispatch.state import DispatchState, Upstream
+from apricotpin.components.dispatch.state import DispatchState
+from apricotpin.components.dispatch.upstream import Upstream
 from apricotpin.messages.desired import Engine
 
 
@@ -71,15 +72,17 @@
     engine = state.get_engine(upstream.entry.service)
     if engine is None:
         return None
+    declared_versions = state.declared_versions.get(engine.model)
+    if not declared_versions:
+        return None
     version = get_loaded_version(upstream, engine, now_s)
-    ages = [
+    if version >= max(declared_versions):
+        return None
+    return max(
         now_s - declared_s
-        for declared, declared_s in state.declared_versions.get(
-            engine.model, {}
-        ).items()
+        for declared, declared_s in declared_versions.items()
         if declared > version
-    ]
-    return max(ages, default=None)
+    )
 
 
 def get_start_deadline_s(
--- a/apricotpin/components/dispatch/waiting.py
+++ b/apricotpin/components/dispatch/waiting.py
@@ -19,6 +19,15 @@
         self.reply = reply
         self.expires_s = expires_s
 
+    @property
+    def may_use_any_upstream(self) -> bool:
+        """Return whether nothing but capacity limits the selection.
+
+        A retry excludes the upstreams that it has tried and needs a share of
+        the retry budget.
+        """
+        return not self.message.tried and not self.message.retry_reason
+
 
 class ExpireWaiters:
     """Ask dispatch to refuse the requests whose wait has expired."""
@@ -26,16 +35,51 @@
     __slots__ = ()
 
 
-def sort_by_priority(waiters: list[Waiter]) -> list[Waiter]:
-    """Return the waiters by priority, then in order of arrival."""
-    return sorted(waiters, key=lambda waiter: waiter.message.priority)
+class WaitingRequests:
+    """Hold the requests that wait, by service."""
+
+    __slots__ = ('_by_service',)
+
+    def __init__(self) -> None:
+        self._by_service: dict[str, list[Waiter]] = {}
+
+    def __len__(self) -> int:
+        return sum(len(waiters) for waiters in self._by_service.values())
+
+    def add(self, waiter: Waiter) -> None:
+        """Add a request behind those of its service."""
+        self._by_service.setdefault(waiter.message.service, []).append(waiter)
+
+    def remove(self, waiter: Waiter) -> None:
+        """Remove a request that waits."""
+        service = waiter.message.service
+        self._by_service[service].remove(waiter)
+        if not self._by_service[service]:
+            self._by_service.pop(service)
+
+    def cancel(self, ticket: str) -> None:
+        """Remove the request with a ticket, if it waits."""
+        for waiter in self._all():
+            if waiter.message.ticket == ticket:
+                self.remove(waiter)
+
+    def by_priority(self, service: str) -> list[Waiter]:
+        """Return a service's requests by priority, then by arrival."""
+        return sorted(
+            self._by_service.get(service, ()),
+            key=lambda waiter: waiter.message.priority,
+        )
 
+    def pop_expired(self, now_s: float) -> list[Waiter]:
+        """Remove and return the requests whose wait has expired."""
+        expired = [one for one in self._all() if one.expires_s <= now_s]
+        for waiter in expired:
+            self.remove(waiter)
+        return expired
 
-def split_expired(
-    waiters: list[Waiter],
-    now_s: float,
-) -> tuple[list[Waiter], list[Waiter]]:
-    """Return the waiters that continue to wait, and those that expired."""
-    waiting = [waiter for waiter in waiters if waiter.expires_s > now_s]
-    expired = [waiter for waiter in waiters if waiter.expires_s <= now_s]
-    return waiting, expired
+    def _all(self) -> list[Waiter]:
+        return [
+            waiter
+            for waiters in self._by_service.values()
+            for waiter in waiters
+        ]
--- a/tests/components/dispatch/choice.feature
+++ b/tests/components/dispatch/choice.feature
@@ -269,3 +269,19 @@
       | while it waits              | second | 1   | overloaded    |
       | before it reads the reply | first  | 1   | overloaded    |
       | before either ends          | both   | 0   | with a worker |
+
+  Scenario Outline: with <first> before <second>, a report that frees <freed> serves <served>
+    # A request that can't be sent must not hold up one behind it that can.
+    Given dispatch knows full workers of drafting and of fees
+    When dispatch receives requests that wait, <first> before <second>
+    And dispatch receives a report that <freed> is free
+    Then dispatch has served <served>
+
+    Examples:
+      | first                  | second               | freed           | served     |
+      | one for drafting       | one for fees         | fees            | the second |
+      | one for fees           | one for drafting     | drafting        | the second |
+      | one for drafting       | one for drafting     | drafting        | the first  |
+      | one for drafting       | an urgent one for drafting | drafting  | the second |
+      | a retry that tried drafting | one for drafting | drafting       | the second |
+      | one for drafting       | one for fees         | nothing         | neither    |
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -17,13 +17,10 @@
     CloseIdleConnections,
     DispatchService,
 )
-from apricotpin.components.dispatch.state import (
-    DispatchState,
-    RequestWindow,
-    Upstream,
-)
+from apricotpin.components.dispatch.state import DispatchState, RequestWindow
+from apricotpin.components.dispatch.upstream import Upstream
 from apricotpin.components.dispatch.state_updates import StateUpdater
-from apricotpin.components.dispatch.waiting import ExpireWaiters
+from apricotpin.components.dispatch.waiting import ExpireWaiters, Waiter
 from apricotpin.core import Kernel, Reply
 from apricotpin.helpers import clocks
 from apricotpin.helpers.exchange import Verdict
@@ -144,10 +141,8 @@
 def knows_workers(context, described):
     context.state = make_state()
     names = described.split(' and one that is ')
-    context.state.upstreams = {
-        str(number): _make_upstream(str(number), name)
-        for number, name in enumerate(names)
-    }
+    for number, name in enumerate(names):
+        context.state.upstreams.add(_make_upstream(str(number), name))
 
 
 @given('dispatch knows that version {version:d} was declared {ago:g} s ago')
@@ -215,7 +210,7 @@
     upstream = Upstream(_make_entry('0'))
     report = make_report(active=active)
     health.record_report(upstream, report, _NOW_S - age)
-    context.state.upstreams = {'0': upstream}
+    context.state.upstreams.add(upstream)
 
 
 @given('dispatch knows {count:d} remote workers that are idle')
@@ -224,7 +219,7 @@
         name = str(number)
         upstream = Upstream(_make_entry(name, 'far'))
         health.record_report(upstream, make_report(), _NOW_S)
-        context.state.upstreams[name] = upstream
+        context.state.upstreams.add(upstream)
 
 
 @given(
@@ -297,7 +292,7 @@
 @when('dispatch computes by when a stream must start')
 def compute_start_deadline(context):
     context.start_deadline_s = versions.get_start_deadline_s(
-        context.state, context.state.upstreams['0'], _NOW_S
+        context.state, context.state.upstreams.get('0'), _NOW_S
     )
 
 
@@ -383,7 +378,7 @@
     for number, stated in enumerate(statement.split(', then ')):
         # As from responses to several requests that run at the same time.
         ticket = str(number)
-        upstream = context.state.upstreams['0']
+        upstream = context.state.upstreams.get('0')
         context.state.start_attempt(ticket, upstream)
         pause_s = 0
         if stated.startswith(_PAUSE):
@@ -431,7 +426,7 @@
         entry = _make_entry(str(number))
         context.service.add_upstream(UpstreamListed(entry), Reply())
         health.record_availability(
-            context.state.upstreams[str(number)], False, float(pause), now_s
+            context.state.upstreams.get(str(number)), False, float(pause), now_s
         )
 
 
@@ -466,7 +461,7 @@
     # Other hosts use all but this many of its 16 slots and 2 queue places.
     upstream.report_received_s = clocks.boot_time_s()
     upstream.others_in_flight = 18 - count
-    context.state.upstreams = {'0': upstream}
+    context.state.upstreams.add(upstream)
     context.service = DispatchService(Kernel('entry'), context.state)
 
 
@@ -481,7 +476,7 @@
 
 @then('dispatch counts {own:d} requests at the worker')
 def counts(context, own):
-    assert context.state.upstreams['0'].own_in_flight == own
+    assert context.state.upstreams.get('0').own_in_flight == own
 
 
 @then('dispatch replies to the next request {reply}')
@@ -491,3 +486,60 @@
     if selected.is_err():
         kind = selected.err_value.kind.value
     assert kind == reply, kind
+
+
+_FULL = {'active': 16, 'queued': 16}
+_ADDRESSES = {'drafting': '10.0.0.1:80', 'fees': '10.0.0.2:80'}
+
+
+@given('dispatch knows full workers of drafting and of fees')
+def knows_full_services(context):
+    context.state = make_state()
+    context.state.services['fees'] = ServiceSpec('fees', 100, None)
+    context.service = DispatchService(Kernel('entry'), context.state)
+    for service, address in _ADDRESSES.items():
+        entry = _make_entry(service, service=service, address=address)
+        context.service.add_upstream(UpstreamListed(entry), Reply())
+        report = make_report(address=address, **_FULL)
+        context.service.record_report(report, Reply())
+
+
+@when('dispatch receives requests that wait, {first} before {second}')
+def receive_two(context, first, second):
+    context.waiters = {}
+    for place, described in (('the first', first), ('the second', second)):
+        is_retry = described.startswith('a retry')
+        service = 'fees' if described.endswith('fees') else 'drafting'
+        message = SelectUpstream(
+            place,
+            service,
+            0 if 'urgent' in described else 1,
+            9,
+            ('drafting',) if is_retry else (),
+            'upstream_busy' if is_retry else '',
+        )
+        context.waiters[place] = AsyncResult()
+        context.service._waiters.add(
+            Waiter(message, Reply(context.waiters[place]), float('inf'))
+        )
+
+
+@when('dispatch receives a report that {freed} is free')
+def receive_free(context, freed):
+    address = _ADDRESSES.get(freed, _ADDRESSES['drafting'])
+    # One request less than the worker can take.
+    loads = {
+        'drafting': {'active': 16, 'queued': 1},
+        'fees': {'active': 16, 'queued': 15},
+        'nothing': _FULL,
+    }
+    report = make_report(address=address, **loads[freed])
+    context.service.record_report(report, Reply())
+
+
+@then('dispatch has served {served}')
+def check_served(context, served):
+    found = [
+        place for place, waiter in context.waiters.items() if waiter.ready()
+    ]
+    assert found == ([] if served == 'neither' else [served]), found
