Close callers' connections on a stop only if no request has arrived

Cause: a stopping entry host killed the greenlets of the connections that were reported as waiting. The drain ended while a request that was just read was not counted yet. A check of a connection used select(), which fails for descriptors above 1,023, so that a host with that many connections answered requests with status 500.

Change: the gateway service asks by an event; the connection's own greenlet is ended only if it waits for the first byte and none has arrived. The drain also waits for all connections to end. Connections are checked with poll().

--- a/apricotpin/components/gateway/__init__.py
+++ b/apricotpin/components/gateway/__init__.py
@@ -1,6 +1,7 @@
 """HTTP listeners for callers and for the load balancer's health check."""
 
 import functools
+import time
 from typing import Any
 
 from gevent import sleep
@@ -88,12 +89,19 @@
 
 
 def _drain(kernel: Kernel, server: WSGIServer, grace_s: float) -> None:
-    """Wait until no request is in progress, within the grace period."""
-    drain_limit_s = grace_s - const.STOP_MARGIN_S
+    """Wait until no request is in progress, within the grace period.
+
+    A request that was just read is not counted yet, so all connections have
+    to end as well.
+    """
+    deadline_s = time.monotonic() + grace_s - const.STOP_MARGIN_S
     drained = kernel.call(
-        SERVICE_GATEWAY, service.AwaitDrained(), drain_limit_s
+        SERVICE_GATEWAY,
+        service.AwaitDrained(),
+        deadline_s - time.monotonic(),
     )
-    if drained.is_err():
+    have_ended = server.pool.join(max(0, deadline_s - time.monotonic()))
+    if drained.is_err() or not have_ended:
         logger.bind(grace_s=grace_s).warning('requests_interrupted')
     # Let the kernel transmit the last responses before the process ends.
     sleep(const.STOP_LINGER_S)
--- a/apricotpin/components/gateway/callers.py
+++ b/apricotpin/components/gateway/callers.py
@@ -1,8 +1,11 @@
 """Callers' connections: unparsed requests, limits, and disconnects."""
 
+import contextlib
+import functools
 from typing import Any, Final
 
 from gevent import GreenletExit, getcurrent, socket
+from gevent.event import Event
 from gevent.pywsgi import WSGIHandler
 from result import Err, Ok, Result
 
@@ -16,6 +19,7 @@
 from apricotpin.const import SERVICE_GATEWAY
 from apricotpin.core import Kernel
 from apricotpin.errors import ErrorKind, Failure, error_response_for
+from apricotpin.helpers.exchange import is_open_and_idle
 from apricotpin.messages.requests import Headers
 from apricotpin.messages.desired import CallerLimits
 
@@ -100,20 +104,25 @@
         self.ignored_socket_errors = ignored
         reply = kernel.call(SERVICE_GATEWAY, GetLimits())
         self._limits: CallerLimits = reply.unwrap_or(None) or _DEFAULT_LIMITS
+        self._waits_for_request = False
 
     def read_requestline(self) -> str:
-        """Wait for the next request, up to the idle time-out."""
+        """Wait for the next request, up to the idle time-out.
+
+        Return an empty line if the connection ends instead.
+        """
         self.socket.settimeout(self._limits.idle_timeout_s)
-        greenlet = getcurrent()
-        self._kernel.send(SERVICE_GATEWAY, ConnectionIdle(greenlet))
-        try:
-            line = super().read_requestline()
-        except BaseException:
-            self._kernel.send(SERVICE_GATEWAY, ConnectionBusy(greenlet))
-            raise
-        self._kernel.send(SERVICE_GATEWAY, ConnectionBusy(greenlet))
+        closing = Event()
+        closing.rawlink(functools.partial(self._close_if_idle, getcurrent()))
+        self._kernel.send(SERVICE_GATEWAY, ConnectionIdle(closing))
+        with contextlib.ExitStack() as exit_stack:
+            exit_stack.callback(self._end_wait, closing)
+            self._waits_for_request = True
+            has_begun = bool(self.rfile.peek(1))
+        if not has_begun:
+            return ''
         self.socket.settimeout(self._limits.head_timeout_s)
-        return line
+        return super().read_requestline()
 
     # gevent calls this method by this name.
     def MessageClass(self, *args: Any) -> Any:  # noqa: N802
@@ -157,6 +166,19 @@
             return
         super().handle_error(kind, error, trace)
 
+    def _end_wait(self, closing: Event) -> None:
+        self._waits_for_request = False
+        self._kernel.send(SERVICE_GATEWAY, ConnectionBusy(closing))
+
+    def _close_if_idle(self, greenlet: Any, _closing: Event) -> None:
+        """End the greenlet if no byte of a request has arrived.
+
+        The hub calls this method, so nothing can arrive between the check and
+        the switch to the greenlet.
+        """
+        if self._waits_for_request and is_open_and_idle(self.socket):
+            greenlet.throw(GreenletExit)
+
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         if not isinstance(ex, HeadTooLarge):
             return super()._handle_client_error(ex)
--- a/apricotpin/components/gateway/service.py
+++ b/apricotpin/components/gateway/service.py
@@ -1,9 +1,9 @@
 """Service that counts requests in progress and closes connections on a stop."""
 
 from collections.abc import Callable
-from typing import Any
 
 import gevent
+from gevent.event import Event
 from loguru import logger
 
 from apricotpin.components.gateway import const
@@ -55,21 +55,25 @@
 
 
 class ConnectionIdle:
-    """Report that a connection's greenlet waits for a request."""
+    """Report that a connection waits for a request.
 
-    __slots__ = ('greenlet',)
+    The gateway service sets closing to ask that the connection is closed. The
+    connection's greenlet decides, since a request may have arrived meanwhile.
+    """
+
+    __slots__ = ('closing',)
 
-    def __init__(self, greenlet: Any) -> None:
-        self.greenlet = greenlet
+    def __init__(self, closing: Event) -> None:
+        self.closing = closing
 
 
 class ConnectionBusy:
-    """Report that a connection's greenlet no longer waits for a request."""
+    """Report that a connection no longer waits for a request."""
 
-    __slots__ = ('greenlet',)
+    __slots__ = ('closing',)
 
-    def __init__(self, greenlet: Any) -> None:
-        self.greenlet = greenlet
+    def __init__(self, closing: Event) -> None:
+        self.closing = closing
 
 
 class GetLimits:
@@ -120,7 +124,7 @@
         self._close_listener = close_listener
         self._in_progress = 0
         self._reserved_bytes: dict[str, int] = {}
-        self._idle: set[Any] = set()
+        self._idle: set[Event] = set()
         self._limits: CallerLimits | None = None
         self._stopping = False
         self._refusing = False
@@ -161,14 +165,14 @@
 
     def add_idle(self, message: ConnectionIdle, reply: Reply) -> None:
         """Add a connection that waits for a request."""
-        self._idle.add(message.greenlet)
+        self._idle.add(message.closing)
         if self._refusing:
             self._close_idle()
         reply.ok()
 
     def remove_idle(self, message: ConnectionBusy, reply: Reply) -> None:
         """Remove a connection that no longer waits for a request."""
-        self._idle.discard(message.greenlet)
+        self._idle.discard(message.closing)
         reply.ok()
 
     def update_limits(self, message: DesiredStateChanged, reply: Reply) -> None:
@@ -223,8 +227,8 @@
         self._reply_if_drained()
 
     def _close_idle(self) -> None:
-        for greenlet in self._idle:
-            greenlet.kill(block=False)
+        for closing in self._idle:
+            closing.set()
         self._idle.clear()
 
     def _reply_if_drained(self) -> None:
--- a/apricotpin/helpers/exchange.py
+++ b/apricotpin/helpers/exchange.py
@@ -1,10 +1,11 @@
 """One HTTP request and its response on a connection to an upstream."""
 
 import enum
+import select
 import time
 from typing import Final
 
-from gevent import select, sleep, socket
+from gevent import monkey, sleep, socket
 from result import Err, Ok, Result
 
 from apricotpin.helpers.addresses import Address
@@ -19,6 +20,10 @@
 _YIELD_S: Final = 0.001
 
 
+# The system call without gevent's patches, which would switch greenlets.
+_poll: Final = monkey.get_original('select', 'poll')
+
+
 class Verdict(enum.Enum):
     """Name how an attempt ended; the values are the retry reasons."""
 
@@ -215,5 +220,7 @@
     """Return whether a connection is open and has no unread bytes."""
     if connection.fileno() < 0:
         return False
-    readable, _, _ = select.select([connection], [], [], 0)
-    return not readable
+    # select() accepts no descriptor above 1023; an entry host has thousands.
+    poller = _poll()
+    poller.register(connection, select.POLLIN)
+    return not poller.poll(0)
--- /dev/null
+++ b/tests/components/gateway/stop.feature
@@ -0,0 +1,23 @@
+Feature: Connections of callers during a planned stop
+  When the balancer has removed a stopping entry host, it closes the connections
+  that wait for a request. A request that had just arrived on one of them was
+  cut off without an answer, because its connection still counted as idle.
+
+  Scenario Outline: a connection that <state> when idle connections close ends with <response>
+    Given gateway has a connection of a caller that <state>
+    When gateway's service closes the idle connections
+    Then gateway's caller on that connection receives <response>
+    And gateway's connections have all ended within 1 s
+
+    Examples: no request
+      | state                                          | response         |
+      | waits for its first request                    | nothing          |
+      | waits for its second request                   | nothing          |
+
+    Examples: a request
+      | state                                          | response         |
+      | has sent a request that is not read yet        | a whole response |
+      | has sent half of a request line                | a whole response |
+      | has sent a request whose start is not reported | a whole response |
+      | runs a request                                 | a whole response |
+      | has sent its second request, not read yet      | a whole response |
--- a/tests/helpers/exchange.feature
+++ b/tests/helpers/exchange.feature
@@ -43,3 +43,18 @@
       | interim responses |
       | chunk extension   |
       | trailers          |
+
+  Scenario Outline: a connection that is <state> with descriptor <descriptor> or above is <kept>
+    # select() accepts no descriptor above 1023. An entry host has thousands of
+    # connections, and requests on it failed.
+    Given exchange with a connection of descriptor <descriptor> or above that is <state>
+    Then exchange considers the connection <kept>
+
+    Examples:
+      | descriptor | state            | kept   |
+      | 3          | idle             | usable |
+      | 3          | closed by peer   | closed |
+      | 3          | with unread data | closed |
+      | 1024       | idle             | usable |
+      | 1024       | closed by peer   | closed |
+      | 1024       | with unread data | closed |
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -542,4 +542,4 @@
     found = [
         place for place, waiter in context.waiters.items() if waiter.ready()
     ]
-    assert found == ([] if served == 'neither' else [served]), found
+    assert (found or ['neither']) == [served], found
--- a/tests/steps/exchange_steps.py
+++ b/tests/steps/exchange_steps.py
@@ -1,12 +1,13 @@
 """Steps for responses that do not end."""
 
+import fcntl
 import time
 import tracemalloc
 
 from behave import given, then, when
-from gevent import sleep, spawn
+from gevent import sleep, socket, spawn
 
-from apricotpin.helpers.exchange import Exchange, connect
+from apricotpin.helpers.exchange import Exchange, connect, is_open_and_idle
 from tests.endless_sender import EndlessSender
 from tests.upstream_fake import open_port
 
@@ -114,3 +115,23 @@
 @then('exchange closed the connection')
 def check_closed(context):
     context.sender.wait_closed()
+
+
+@given(
+    'exchange with a connection of descriptor {descriptor:d} or above that is '
+    '{state}'
+)
+def open_connection(context, descriptor, state):
+    own, peer = socket.socketpair()
+    duplicate = fcntl.fcntl(own.fileno(), fcntl.F_DUPFD, descriptor)
+    context.connection = socket.socket(fileno=duplicate)
+    context.cleanups = [own.close, peer.close, context.connection.close]
+    if state == 'closed by peer':
+        peer.close()
+    elif state == 'with unread data':
+        peer.sendall(b'x')
+
+
+@then('exchange considers the connection {kept}')
+def check_considered(context, kept):
+    assert is_open_and_idle(context.connection) == (kept == 'usable')
