Share the list of upstreams within a data centre

Cause: every entry host read the entry of every worker from the store as often as the workers write them, about once a second, and announced each to its services although nothing had changed. At 99 hosts and 66 workers that is some 20 KB/s a host, most of it over links between regions.

Change: where a data centre has five entry hosts or more, two of them read the list; the others wait for changes at one of these, and read the store at once if it does not answer within 0.9 s or has not read the store for 2 s. Only entries that differ are passed on and announced, the others every 3 s.

--- a/apricotpin/components/follower/__init__.py
+++ b/apricotpin/components/follower/__init__.py
@@ -9,10 +9,12 @@
     FeedRead,
     FetchEnded,
     GetCachedRecords,
+    GetListSources,
     GetPeerAddresses,
     ShouldReadStore,
 )
 from apricotpin.components.follower.feed_reads import read_feed_forever
+from apricotpin.components.follower.list_sharing import ListSharing
 from apricotpin.components.follower.peer_exchange import PeerExchange
 from apricotpin.components.follower.service import FollowerService
 from apricotpin.const import SERVICE_CONFIGURATION
@@ -20,12 +22,13 @@
 from apricotpin.errors import Failure
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages.desired import DesiredStateChanged
-from apricotpin.messages.feeds import Feed, ReadFeed
+from apricotpin.messages.feeds import Feed, ReadFeed, ReadSharedList
 from apricotpin.messages.fleet import (
     ConfigVersionReceived,
     EntryHostsChanged,
     DeclaredVersionReceived,
 )
+from apricotpin.messages.upstreams import UpstreamUnlisted
 
 
 def setup(kernel: Kernel, _settings: HostSettings) -> Result[None, Failure]:
@@ -33,9 +36,12 @@
     service = FollowerService(kernel)
     peers = PeerExchange(kernel)
 
+    sharing = ListSharing()
+
     def handle_read(message: FeedRead, reply: Reply) -> None:
         peers.record_read(message)
         service.apply_read(message, reply)
+        sharing.record_read(message)
 
     def start(_message: Started, reply: Reply) -> None:
         for feed in Feed:
@@ -60,6 +66,9 @@
             ShouldReadStore: peers.should_read_store,
             EntryHostsChanged: peers.update_hosts,
             GetPeerAddresses: peers.list_addresses,
+            GetListSources: peers.list_sources,
+            ReadSharedList: sharing.read,
+            UpstreamUnlisted: sharing.record_unlisted,
             GetCachedRecords: peers.list_cached_records,
             ReadFeed: peers.read_feed,
             CheckOverdueRemovals: service.check_overdue_removals,
--- a/apricotpin/components/follower/const.py
+++ b/apricotpin/components/follower/const.py
@@ -64,3 +64,26 @@
 AGE_TOLERANCE_S: Final = 0.1
 # Offset in a ReadFeed message that asks a peer for its cached records.
 CACHE_OFFSET: Final = -2
+# From this number of entry hosts in a data centre on, two of them read the list
+# of upstreams from the store, and the others get its changes from these. Each
+# worker writes its entry about once a second, so that the bytes that a host
+# reads from the store grow with the number of workers.
+SHARED_LIST_HOSTS_MIN: Final = 5
+LIST_READERS_PER_DATA_CENTRE: Final = 2
+# How long a reader lets a host wait for a change, and how long that host waits
+# beyond it. Within both together, a host notices that its reader has failed,
+# which leaves time for a read of the store before a worker that leaves must
+# get no more requests.
+SHARED_LIST_WAIT_S: Final = 0.5
+SHARED_LIST_TIMEOUT_S: Final = 0.4
+# A reader whose last read of the store is older than this does not vouch for
+# its list.
+SHARED_LIST_AGE_MAX_S: Final = 2.0
+# A reader that failed is not asked for this time.
+SHARED_LIST_BACKOFF_S: Final = 2.0
+# Removed upstreams that a reader remembers, for hosts that have not heard of
+# their removal.
+SHARED_REMOVALS_MAX: Final = 1000
+# An entry that has not changed is announced again after this time, so that a
+# service that dropped its upstream by mistake gets it back.
+ANNOUNCE_PERIOD_S: Final = 3.0
--- a/apricotpin/components/follower/events.py
+++ b/apricotpin/components/follower/events.py
@@ -34,6 +34,15 @@
         self.took_s = took_s
 
 
+class GetListSources:
+    """Ask for the peers to read the list of upstreams from.
+
+    The reply is empty if this host has to read it from the store.
+    """
+
+    __slots__ = ()
+
+
 class GetPeerAddresses:
     """Ask for the other entry hosts, which may read a feed for this one."""
 
--- a/apricotpin/components/follower/feed_reads.py
+++ b/apricotpin/components/follower/feed_reads.py
@@ -17,9 +17,11 @@
     FeedRead,
     FetchEnded,
     GetCachedRecords,
+    GetListSources,
     GetPeerAddresses,
     ShouldReadStore,
 )
+from apricotpin.components.follower.list_sharing import SharedListReader
 from apricotpin.const import SERVICE_CONFIGURATION, SERVICE_STORE
 from apricotpin.core import Kernel, Reply
 from apricotpin.errors import ErrorKind, Failure
@@ -65,15 +67,18 @@
             reader.offset = -1
             gevent.sleep(const.READER_CHECK_PERIOD_S)
             continue
-        is_snapshot = reader.offset < 0
         page = reader.read()
         kernel.send(
             SERVICE_CONFIGURATION,
-            FeedRead(feed, page, is_snapshot, reader.source, reader.took_s),
+            FeedRead(
+                feed, page, reader.is_snapshot, reader.source, reader.took_s
+            ),
         )
         if page.is_ok():
             failures = 0
-            gevent.sleep(pause_s)
+            # Another host responds when something has changed.
+            is_shared = reader.is_shared
+            gevent.sleep(const.CHANGES_PAUSE_S if is_shared else pause_s)
         else:
             failures += 1
             gevent.sleep(backoff_s(failures))
@@ -95,7 +100,10 @@
         '_feed',
         '_kernel',
         '_store_backoff_until_s',
+        '_shared',
         '_wait_s',
+        'is_shared',
+        'is_snapshot',
         'offset',
         'source',
         'took_s',
@@ -106,6 +114,11 @@
         # Source that was asked last, and how long that read took.
         self.source = STORE
         self.took_s: float = 0
+        # Whether the last read asked for all entries.
+        self.is_snapshot = True
+        # Whether the last page is of a list that another host shares.
+        self.is_shared = False
+        self._shared = SharedListReader(kernel)
         self._kernel = kernel
         self._feed = feed
         self._wait_s = wait_s
@@ -115,14 +128,33 @@
     def read(self) -> Result[FeedPage, Failure]:
         """Return the next entries, from the store or through a peer."""
         started_s = time.monotonic()
-        page = self._advance(self._read())
+        page = self._read_shared()
+        self.is_shared = page is not None
+        if page is None:
+            self.is_snapshot = self.offset < 0
+            page = self._advance(self._read())
         self.took_s = time.monotonic() - started_s
         return page
 
+    def _read_shared(self) -> Result[FeedPage, Failure] | None:
+        """Return what another host shares, None if the store has to be read."""
+        if self._feed is not Feed.UPSTREAMS:
+            return None
+        sources = self._kernel.call(SERVICE_CONFIGURATION, GetListSources())
+        page = self._shared.read(sources.unwrap_or(()))
+        if page.is_err():
+            return None
+        self.source = self._shared.source
+        self.is_snapshot = self._shared.is_complete
+        # The next read of the store has to find what changed until then.
+        self.offset = -1
+        return page
+
     def _read(self) -> Result[FeedPage, Failure]:
         now_s = time.monotonic()
         if now_s >= self._store_backoff_until_s:
             self.source = STORE
+            self._shared.reset()
             page = self._read_from_store()
             if _has_responded(page):
                 return page
--- a/apricotpin/components/follower/peer_exchange.py
+++ b/apricotpin/components/follower/peer_exchange.py
@@ -17,6 +17,7 @@
     FeedRead,
     FetchEnded,
     GetCachedRecords,
+    GetListSources,
     GetPeerAddresses,
     ShouldReadStore,
 )
@@ -108,6 +109,10 @@
         readers.update_hosts(self._source_state, message.hosts)
         reply.ok()
 
+    def list_sources(self, _message: GetListSources, reply: Reply) -> None:
+        """Reply with the peers to read the list of upstreams from."""
+        reply.ok(readers.list_sources(self._source_state))
+
     def list_addresses(self, _message: GetPeerAddresses, reply: Reply) -> None:
         """Reply with the peer addresses of the other entry hosts."""
         others = self._source_state.hosts[1:]
--- a/apricotpin/components/follower/readers.py
+++ b/apricotpin/components/follower/readers.py
@@ -10,6 +10,7 @@
 from apricotpin.messages.feeds import EntryHost
 
 _READERS_KEY = 'operator'
+_LIST_READERS_KEY = 'upstreams'
 # Labels of the metric desired_state_bytes_total for copies from another host:
 # of this data centre, and of another one.
 NEAR = 'near'
@@ -58,6 +59,32 @@
     return own_host is None or own_host.host_id in _reader_ids(state)
 
 
+def list_sources(state: SourceState) -> tuple[str, ...]:
+    """Return the peers that read the list of upstreams for this host.
+
+    There are none if this host reads the store itself: as a reader, or where a
+    data centre has few hosts. Each host prefers one of the readers, so that
+    their work is distributed.
+    """
+    if not state.hosts:
+        return ()
+    own_host = state.hosts[0]
+    local = {
+        host.host_id: host.peer_address
+        for host in state.hosts
+        if host.data_centre == own_host.data_centre
+    }
+    if len(local) < const.SHARED_LIST_HOSTS_MIN:
+        return ()
+    reader_ids = rendezvous_order(_LIST_READERS_KEY, list(local))[
+        : const.LIST_READERS_PER_DATA_CENTRE
+    ]
+    if own_host.host_id in reader_ids:
+        return ()
+    preferred_ids = rendezvous_order(own_host.host_id, reader_ids)
+    return tuple(local[host_id] for host_id in preferred_ids)
+
+
 def should_read_store(state: SourceState, now_s: float) -> bool:
     """Return whether this host has to read the store now.
 
--- a/apricotpin/components/follower/service.py
+++ b/apricotpin/components/follower/service.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from apricotpin.components.follower import decisions
+from apricotpin.components.follower import const, decisions
 from apricotpin.components.follower.events import (
     CheckOverdueRemovals,
     FeedRead,
@@ -36,11 +36,20 @@
 class FollowerService:
     """Hold what the store's feeds contained last, and publish changes."""
 
-    __slots__ = ('_declared', '_kernel', '_state', '_upstream_list')
+    __slots__ = (
+        '_announced_s',
+        '_declared',
+        '_kernel',
+        '_state',
+        '_upstream_list',
+    )
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._upstream_list = decisions.UpstreamList()
+        # When each upstream was last announced to other services, on the
+        # monotonic clock.
+        self._announced_s: dict[str, float] = {}
         self._state: DesiredState | None = None
         # When each version of a model was declared, on the boot-time clock;
         # None where unknown.
@@ -165,7 +174,12 @@
                 address=entry.address,
                 draining=entry.draining,
             ).info('upstream_listed')
-        self._kernel.publish(UpstreamListed(entry))
+        now_s = time.monotonic()
+        announced_s = self._announced_s.get(entry.instance_id, float('-inf'))
+        is_changed = known is None or not known.is_equal(entry)
+        if is_changed or now_s - announced_s >= const.ANNOUNCE_PERIOD_S:
+            self._announced_s[entry.instance_id] = now_s
+            self._kernel.publish(UpstreamListed(entry))
 
     def _remove_unlisted(self, listed_ids: set[str]) -> None:
         for instance_id in decisions.find_unlisted(
@@ -181,5 +195,6 @@
             self._publish_unlisted(instance_id, 'entry_removed')
 
     def _publish_unlisted(self, instance_id: str, reason: str) -> None:
+        self._announced_s.pop(instance_id, None)
         logger.bind(instance=instance_id, reason=reason).info('upstream_gone')
         self._kernel.publish(UpstreamUnlisted(instance_id))
--- a/apricotpin/components/peer_api/dispatch.py
+++ b/apricotpin/components/peer_api/dispatch.py
@@ -36,6 +36,7 @@
         'readiness': SERVICE_ADMIN,
         'config_state': SERVICE_CONFIGURATION,
         'read_feed': SERVICE_CONFIGURATION,
+        'read_shared_list': SERVICE_CONFIGURATION,
         'claim': SERVICE_CLAIMS,
         'record_outcome': SERVICE_CLAIMS,
         'find_outcome': SERVICE_CLAIMS,
--- a/apricotpin/messages/feeds.py
+++ b/apricotpin/messages/feeds.py
@@ -82,6 +82,55 @@
         self.wait_ms = wait_ms
 
 
+class ReadSharedList:
+    """Ask a reader of the list of upstreams for what changed in it.
+
+    revision is that of the list with list_id which this host has. While
+    nothing has changed, the reply comes after wait_ms.
+    """
+
+    __slots__ = ('list_id', 'revision', 'wait_ms')
+
+    def __init__(self, list_id: str, revision: int, wait_ms: int) -> None:
+        self.list_id = list_id
+        self.revision = revision
+        self.wait_ms = wait_ms
+
+
+class SharedList:
+    """Carry the upstreams that changed, or all if is_complete.
+
+    A record without content removes the upstream. list_id and revision name
+    the state that the receiver then has, and offset is that of the store.
+    fault is the error kind if this host can't vouch for its list, else empty.
+    """
+
+    __slots__ = (
+        'fault',
+        'is_complete',
+        'list_id',
+        'offset',
+        'records',
+        'revision',
+    )
+
+    def __init__(
+        self,
+        list_id: str,
+        revision: int,
+        is_complete: bool,
+        offset: int,
+        records: list[FeedRecord],
+        fault: str = '',
+    ) -> None:
+        self.list_id = list_id
+        self.revision = revision
+        self.is_complete = is_complete
+        self.offset = offset
+        self.records = records
+        self.fault = fault
+
+
 class DecodeRecords:
     """Ask the store service to decode records that a peer read."""
 
--- a/apricotpin/messages/upstreams.py
+++ b/apricotpin/messages/upstreams.py
@@ -14,6 +14,15 @@
         self.start = start
         self.end = end
 
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, LoadedLayers) and all(
+            getattr(self, field) == getattr(other, field)
+            for field in self.__slots__
+        )
+
+    def __hash__(self) -> int:
+        return hash((self.model, self.version, self.start, self.end))
+
 
 class UpstreamEntry:
     """Describe an upstream as it registered itself."""
@@ -51,6 +60,13 @@
         # None if it does not report which weights it has loaded.
         self.loaded = loaded
 
+    def is_equal(self, other: 'UpstreamEntry') -> bool:
+        """Return whether all fields of two entries are equal."""
+        return all(
+            getattr(self, field) == getattr(other, field)
+            for field in self.__slots__
+        )
+
 
 class UpstreamListed:
     """Announce a new or changed entry of an upstream."""
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -202,7 +202,25 @@
   3: string fault
 }
 
+// list_id is empty and revision 0 on the first read.
+struct ReadSharedList {
+  1: string list_id
+  2: i64 revision
+  3: i32 wait_ms
+}
+
+// An empty content removes the key. is_complete: all upstreams are listed.
+struct SharedList {
+  1: string list_id
+  2: i64 revision
+  3: bool is_complete
+  4: i64 offset
+  5: list<FeedRecord> records
+  6: string fault
+}
+
 service Peer {
+  SharedList read_shared_list(1: ReadSharedList request)
   FeedRecords read_feed(1: ReadFeed request)
   ChunkAnswer fetch_chunk(1: FetchChunk request)
   WeightsStatus weights_status(1: GetWeightsStatus request)
