Spread the return of refused callers over their remaining time

Cause: all callers that were refused for want of capacity were told to return after the same 0.4 s (1.2 s where no worker is available). After a burst they came back together, while the same requests still ran, and were refused again.

Change: the time lies between that first value and three tenths of the caller's remaining time, at random, at most 4 s.

Result in the replay of the tests: 100 callers at 20 slots of 0.5 s, each returning once; more of them are served than with one time for all.

--- a/apricotpin/components/gateway/application.py
+++ b/apricotpin/components/gateway/application.py
@@ -1,6 +1,7 @@
 """WSGI application that forwards callers' requests to upstreams."""
 
 import contextlib
+import random
 import time
 from collections.abc import Callable, Iterator
 from http import HTTPStatus
@@ -175,7 +176,9 @@
         remaining_s = serving.remaining_s(
             self._context, self._head, self._started_s
         )
-        retry_after_s = decisions.retry_after_s(failure, remaining_s)
+        retry_after_s = decisions.retry_after_s(
+            failure, remaining_s, random.random()
+        )
         status = error_response_for(failure.kind).http_status
         self._outcome = {
             'outcome': failure.kind.value,
--- a/apricotpin/components/gateway/const.py
+++ b/apricotpin/components/gateway/const.py
@@ -44,11 +44,14 @@
 UNSENT_ATTEMPTS_MAX: Final = 4
 # No attempt starts with less time than this before the request's deadline.
 MIN_TIME_LEFT_S: Final = 0.02
-# Retry-After values of refusals: upper limits for a full and for an
-# unavailable service, and the share of the caller's remaining time that
-# neither may exceed.
-RETRY_AFTER_OVERLOADED_MAX_S: Final = 0.4
-RETRY_AFTER_UNAVAILABLE_MAX_S: Final = 1.2
+# Retry-After times of refusals lie between a first value, for a full and for an
+# unavailable service, and a share of the caller's remaining time. Callers that
+# are refused together return spread over that time; if all came back after the
+# first value, most of them would find the same workers still full.
+RETRY_AFTER_OVERLOADED_FIRST_S: Final = 0.4
+RETRY_AFTER_UNAVAILABLE_FIRST_S: Final = 1.2
+RETRY_AFTER_MAX_S: Final = 4.0
+# Callers wait for at most a third of their remaining time.
 RETRY_AFTER_SHARE: Final = 0.3
 # The load balancer removes a host after two failed checks, one second apart.
 # Until then it still sends requests.
--- a/apricotpin/components/gateway/decisions.py
+++ b/apricotpin/components/gateway/decisions.py
@@ -175,16 +175,21 @@
     return Failure(ErrorKind.UPSTREAM_FAILED, cause.detail)
 
 
-def retry_after_s(failure: Failure, remaining_s: float) -> float | None:
+def retry_after_s(
+    failure: Failure, remaining_s: float, random_unit: float
+) -> float | None:
     """Return the Retry-After time, None if a retry would not help."""
     if failure.retry_after_s is not None:
         return failure.retry_after_s
-    max_s = max(0, remaining_s) * const.RETRY_AFTER_SHARE
     if failure.kind in _OVERLOAD_KINDS:
-        return min(const.RETRY_AFTER_OVERLOADED_MAX_S, max_s)
-    if failure.kind in _UNAVAILABLE_KINDS:
-        return min(const.RETRY_AFTER_UNAVAILABLE_MAX_S, max_s)
-    return None
+        first_s = const.RETRY_AFTER_OVERLOADED_FIRST_S
+    elif failure.kind in _UNAVAILABLE_KINDS:
+        first_s = const.RETRY_AFTER_UNAVAILABLE_FIRST_S
+    else:
+        return None
+    share_s = max(0, remaining_s) * const.RETRY_AFTER_SHARE
+    last_s = min(share_s, const.RETRY_AFTER_MAX_S)
+    return last_s - random_unit * max(0, last_s - first_s)
 
 
 def queue_timeout_s(progress: Progress, now_s: float) -> float:
--- a/apricotpin/components/gateway/serving.py
+++ b/apricotpin/components/gateway/serving.py
@@ -130,14 +130,14 @@
     """Return how much time remains until the request's deadline.
 
     If the deadline is not known, return the shortest time that does not lower
-    the upper limits of Retry-After.
+    the first values of Retry-After.
     """
     now_s = time.monotonic()
     if context is not None:
         return context.progress.deadline_s - now_s
     if head is not None and head.deadline_s is not None:
         return started_s + head.deadline_s - now_s
-    return const.RETRY_AFTER_UNAVAILABLE_MAX_S / const.RETRY_AFTER_SHARE
+    return const.RETRY_AFTER_UNAVAILABLE_FIRST_S / const.RETRY_AFTER_SHARE
 
 
 def log_request_end(
--- a/tests/components/gateway/decisions.feature
+++ b/tests/components/gateway/decisions.feature
@@ -68,17 +68,33 @@
       | 421    | misdirected, without an id   | crossed_answer |
       | 421    | misdirected by another worker | misdirected   |
 
-  Scenario Outline: a refusal as <kind> with <left> s left names a retry time of <back> s
+  Scenario Outline: a refusal as <kind> with <left> s left names a retry time from <first> to <last>
+    # Callers wait for a third of their remaining time at most.
     When gateway refuses a request as <kind> with <left> s left
-    Then gateway's refusal names a retry time of <back>
+    Then gateway's refusal names a retry time from <first> to <last>
+
+    Examples:
+      | kind            | left | first | last |
+      | overloaded      | 6.0  | 0.4   | 1.8  |
+      | overloaded      | 0.6  | 0.18  | 0.18 |
+      | overloaded      | 60.0 | 0.4   | 4.0  |
+      | no_upstream     | 6.0  | 1.2   | 1.8  |
+      | no_upstream     | 3.0  | 0.9   | 0.9  |
+      | no_upstream     | -1.0 | 0.0   | 0.0  |
+      | upstream_failed | 6.0  | none  | none |
+      | timeout         | 0.0  | none  | none |
+
+  Scenario Outline: of <callers> callers at once for <slots> slots of <busy> s each, at least <served> are served
+    # Load pattern: a burst that fills all workers. Callers that came back all
+    # at once, 0.4 s later, found the same requests still running.
+    When gateway's callers return once after a burst of <callers> at <slots> slots of <busy> s
+    Then gateway's workers serve at least <served> of them, and more than with one retry time for all
 
     Examples:
-      | kind            | left | back |
-      | overloaded      | 6.0  | 0.4  |
-      | overloaded      | 0.6  | 0.18 |
-      | no_upstream     | 6.0  | 1.2  |
-      | upstream_failed | 6.0  | none |
-      | timeout         | 0.0  | none |
+      | callers | slots | busy | served |
+      | 100     | 20    | 0.5  | 70     |
+      | 100     | 20    | 0.7  | 55     |
+      | 60      | 20    | 0.9  | 40     |
 
   Scenario Outline: a refusal with <left> s left, all workers pausing for <pause> s, names a retry time of <back> s
     # A caller that comes back before the pause ends is refused again.
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -1,5 +1,8 @@
 """Steps for the decisions of the gateway component."""
 
+import heapq
+import random
+
 from behave import given, then, when
 
 from apricotpin.components.gateway import decisions
@@ -99,7 +102,69 @@
 @when('gateway refuses a request as {kind} with {left:f} s left')
 def refuse(context, kind, left):
     failure = Failure(ErrorKind(kind))
-    context.retry_after_s = decisions.retry_after_s(failure, left)
+    context.retry_times_s = [
+        decisions.retry_after_s(failure, left, random_unit)
+        for random_unit in (1, 0)
+    ]
+
+
+@then("gateway's refusal names a retry time from {first} to {last}")
+def check_retry_times(context, first, last):
+    expected = [
+        None if named == 'none' else float(named) for named in (first, last)
+    ]
+    found = [
+        None if found_s is None else round(found_s, 3)
+        for found_s in context.retry_times_s
+    ]
+    assert found == expected, found
+
+
+_LEFT_S = 6.0
+_BURST_S = 0.2
+
+
+def _serve_burst(callers, slots, busy, retry_after_s):
+    """Return how many callers are served, each returning at most once."""
+    arrivals = [
+        (number * _BURST_S / callers, True) for number in range(callers)
+    ]
+    free_at_s = [float()] * slots
+    served = 0
+    while arrivals:
+        now_s, may_return = heapq.heappop(arrivals)
+        free = min(range(slots), key=free_at_s.__getitem__)
+        if free_at_s[free] <= now_s:
+            free_at_s[free] = now_s + busy
+            served += 1
+        elif may_return:
+            heapq.heappush(arrivals, (now_s + retry_after_s(), False))
+    return served
+
+
+@when(
+    "gateway's callers return once after a burst of {callers:d} at {slots:d} "
+    'slots of {busy:g} s'
+)
+def replay_burst(context, callers, slots, busy):
+    source = random.Random(1)
+    failure = Failure(ErrorKind.OVERLOADED)
+    context.served = _serve_burst(
+        callers,
+        slots,
+        busy,
+        lambda: decisions.retry_after_s(failure, _LEFT_S, source.random()),
+    )
+    context.served_together = _serve_burst(callers, slots, busy, lambda: 0.4)
+
+
+@then(
+    "gateway's workers serve at least {served:d} of them, and more than with "
+    'one retry time for all'
+)
+def check_served(context, served):
+    assert context.served >= served, context.served
+    assert context.served > context.served_together, context.served_together
 
 
 @when(
@@ -108,7 +173,7 @@
 )
 def refuse_paused(context, left, pause):
     failure = Failure(ErrorKind.OVERLOADED, '', pause)
-    context.retry_after_s = decisions.retry_after_s(failure, left)
+    context.retry_after_s = decisions.retry_after_s(failure, left, 0)
 
 
 @then("gateway's refusal names a retry time of {named}")
