Derive the silence limits of streams from their routes' goals

On a route with a latency goal of 2 s sound streams would be cut.

Change: the limits are at least twice the route's goals (unchanged on the present deployments, with goals up to 0.6 s), and a stream that no other worker may continue has none but its deadline.

Result: the new rows of gateway/decisions.feature. They were not run on the code before, where both limits were constants.

--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -228,7 +228,9 @@
         return events.err_value
     _record_first_part(context, attempt, events.ok_value)
     attempt.exchange.set_deadline(context.progress.deadline_s)
-    attempt.exchange.set_silence_timeout(const.EVENT_SILENCE_TIMEOUT_S)
+    attempt.exchange.set_silence_timeout(
+        decisions.event_silence_timeout_s(context.progress, time.monotonic())
+    )
     return Verdict.ANSWERED
 
 
--- a/apricotpin/components/gateway/const.py
+++ b/apricotpin/components/gateway/const.py
@@ -29,10 +29,14 @@
 # A request waits for a free upstream for at most this share of its route's
 # latency goal. After that, a refusal lets the caller try elsewhere.
 QUEUE_TIMEOUT_SHARE_OF_GOAL: Final = 0.12
-# An attempt at a stream ends when its worker sends no event for this long.
-# Callers disconnect after two seconds or more without an event.
+# An attempt at a stream that another worker may continue ends when its worker
+# sends no event for this long, or for this many times the route's goal if that
+# is longer. Callers disconnect after two seconds without an event, or after
+# four times the latency goal or eight times the goal for gaps if those are
+# longer.
 FIRST_EVENT_SILENCE_TIMEOUT_S: Final = 1.3
 EVENT_SILENCE_TIMEOUT_S: Final = 1.0
+SILENCE_GOAL_FACTOR: Final = 2.0
 # An idempotent request is retried elsewhere when its worker is silent for
 # this share of the remaining time.
 IDEMPOTENT_SILENCE_SHARE: Final = 0.4
--- a/apricotpin/components/gateway/decisions.py
+++ b/apricotpin/components/gateway/decisions.py
@@ -213,10 +213,23 @@
     if not may_retry_later(progress):
         return remaining_s
     if progress.route.kind is RouteKind.STREAM:
-        return min(remaining_s, const.FIRST_EVENT_SILENCE_TIMEOUT_S)
+        goal_s = progress.route.latency_goal_s * const.SILENCE_GOAL_FACTOR
+        silence_s = max(const.FIRST_EVENT_SILENCE_TIMEOUT_S, goal_s)
+        return min(remaining_s, silence_s)
     return remaining_s * const.IDEMPOTENT_SILENCE_SHARE
 
 
+def event_silence_timeout_s(progress: Progress, now_s: float) -> float:
+    """Return how long a worker may stay silent between two events.
+
+    A stream that no other worker may continue is not ended for being slow.
+    """
+    if not may_retry_later(progress):
+        return max(const.MIN_TIME_LEFT_S, progress.deadline_s - now_s)
+    goal_s = progress.route.event_gap_goal_s * const.SILENCE_GOAL_FACTOR
+    return max(const.EVENT_SILENCE_TIMEOUT_S, goal_s)
+
+
 def first_event_deadline_s(
     progress: Progress, start_timeout_s: float, now_s: float
 ) -> float:
--- a/tests/components/gateway/decisions.feature
+++ b/tests/components/gateway/decisions.feature
@@ -91,6 +91,26 @@
       | 6.0  | 5.0   | 5.0  |
       | 0.5  | 5.0   | 5.0  |
 
+  Scenario Outline: a <kind> stream with goals of <goal> s and <gap> s times out after <first> s, then after <next> s
+    # Slow but sound streams must not be cut: not where a deployment allows for
+    # longer times, and not where no other worker may continue them.
+    Given gateway with a <kind> stream for at most <most> attempts, goals of <goal> s and <gap> s
+    Then gateway's worker may be silent for <first> s before the first event
+    And gateway's worker may be silent for <next> s between two events
+
+    Examples: streams that another worker may continue
+      | kind      | most | goal | gap | first | next |
+      | resumable | 2    | 0.4  | 0.3 | 1.3   | 1.0  |
+      | resumable | 2    | 0.6  | 0.5 | 1.3   | 1.0  |
+      | resumable | 2    | 2.0  | 1.5 | 4.0   | 3.0  |
+      | resumable | 2    | 0.04 | 0.0 | 1.3   | 1.0  |
+      | resumable | 2    | 9.0  | 0.3 | 6.0   | 1.0  |
+
+    Examples: streams that no other worker may continue
+      | kind      | most | goal | gap | first | next |
+      | stream    | 2    | 0.4  | 0.3 | 6.0   | 6.0  |
+      | resumable | 1    | 0.4  | 0.3 | 6.0   | 6.0  |
+
   Scenario Outline: a stream in parts <parts> is passed on as <events>
     When gateway splits the parts <parts>
     Then gateway passed on <events> with the last id <id>
--- a/tests/steps/gateway_steps.py
+++ b/tests/steps/gateway_steps.py
@@ -33,6 +33,33 @@
     context.progress = decisions.Progress(route, _NOW_S, _NOW_S + 6, '')
 
 
+@given(
+    'gateway with a {kind} stream for at most {most:d} attempts, goals of '
+    '{goal:g} s and {gap:g} s'
+)
+def stream_of(context, kind, most, goal, gap):
+    route = make_route(
+        kind=_KINDS[kind],
+        max_attempts=most,
+        resumable=kind == 'resumable',
+        latency_goal_s=goal,
+        event_gap_goal_s=gap,
+    )
+    context.progress = decisions.Progress(route, _NOW_S, _NOW_S + 6, '')
+
+
+@then("gateway's worker may be silent for {silence:g} s before the first event")
+def check_first_silence(context, silence):
+    found = decisions.silence_timeout_s(context.progress, _NOW_S)
+    assert round(found, 3) == silence, found
+
+
+@then("gateway's worker may be silent for {silence:g} s between two events")
+def check_event_silence(context, silence):
+    found = decisions.event_silence_timeout_s(context.progress, _NOW_S)
+    assert round(found, 3) == silence, found
+
+
 @when("gateway's attempts end in {verdicts}")
 def attempts_end(context, verdicts):
     for name in verdicts.split(', '):
--- a/tests/steps/routes_steps.py
+++ b/tests/steps/routes_steps.py
@@ -24,6 +24,7 @@
     resumable=False,
     latency_goal_s=0.4,
     timeout_s=6.0,
+    event_gap_goal_s=0.3,
 ):
     """Return a route; fields that a test depends on are given by it."""
     return Route(
@@ -34,7 +35,7 @@
         splits=(TrafficSplit(service, 1),),
         timeout_s=timeout_s,
         latency_goal_s=latency_goal_s,
-        event_gap_goal_s=0.3,
+        event_gap_goal_s=event_gap_goal_s,
         max_attempts=max_attempts,
         priority=priority,
         anonymous=anonymous,
