Discard repeated responses on a kept connection and read the request's own

Cause: after an earlier response that a worker sent once more, the gateway gave up the request, although its own response followed; the caller of a non-idempotent request received 502, and others cost a second run.

Change: on a reused connection, up to two responses with another id and a stated length up to 16 KiB are discarded. What heads mean for a request is in gateway/responses.py.

Result: nine rows of kept_connections.feature that ended as 502 or as a second run are answered after one run; rows where the end or the id of the earlier response is not known end as before.

--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -6,7 +6,13 @@
 
 from result import Err, Ok, Result
 
-from apricotpin.components.gateway import bodies, const, decisions, log_lines
+from apricotpin.components.gateway import (
+    bodies,
+    const,
+    decisions,
+    log_lines,
+    responses,
+)
 from apricotpin.components.gateway.events import EventSplitter
 from apricotpin.components.gateway.state import Attempt, RequestContext
 from apricotpin.const import SERVICE_DISPATCH, SERVICE_METRICS
@@ -156,7 +162,7 @@
         context.before_send()
     attempt.sent_s = time.monotonic()
     failed = attempt.exchange.send(_encode(context, attempt.upstream))
-    failed = failed or attempt.exchange.read_head()
+    failed = failed or _read_own_head(context, attempt)
     verdict = failed or _read_response(context, attempt)
     if verdict is Verdict.SILENT and _is_overdue(context, attempt):
         return Verdict.START_OVERDUE
@@ -185,13 +191,35 @@
     )
 
 
+def _read_own_head(context: RequestContext, attempt: Attempt) -> Verdict | None:
+    """Read the head of the response, and discard responses before it.
+
+    A worker may send the response to an earlier request once more, late.
+    """
+    for _ in range(const.EARLIER_RESPONSES_MAX + 1):
+        failed = attempt.exchange.read_head()
+        if failed:
+            return failed
+        parser = attempt.exchange.parser
+        attempt.head = context.codec.decode_response(
+            parser.get_code(),
+            list(parser.items()),
+        )
+        is_reused = attempt.exchange.reused
+        request_id = context.head.request_id
+        if not responses.is_to_earlier(attempt.head, request_id, is_reused):
+            attempt.exchange.accept_response()
+            return None
+        failed = attempt.exchange.skip_response(
+            const.EARLIER_RESPONSE_MAX_BYTES
+        )
+        if failed:
+            return failed
+    return Verdict.MISMATCHED
+
+
 def _read_response(context: RequestContext, attempt: Attempt) -> Verdict:
-    parser = attempt.exchange.parser
-    attempt.head = context.codec.decode_response(
-        parser.get_code(),
-        list(parser.items()),
-    )
-    verdict = decisions.classify_head(
+    verdict = responses.classify_head(
         attempt.head,
         context.head.request_id,
         attempt.upstream.instance_id,
@@ -213,7 +241,7 @@
     head, upstream = attempt.head, attempt.upstream
     if not head.is_leaving and not head.pause_s:
         return
-    if decisions.is_from_another_instance(head, upstream.instance_id):
+    if responses.is_from_another_instance(head, upstream.instance_id):
         return
     context.kernel.send(
         SERVICE_DISPATCH,
--- a/apricotpin/components/gateway/const.py
+++ b/apricotpin/components/gateway/const.py
@@ -26,6 +26,10 @@
 # a few words long and arrives with the head.
 REFUSAL_BODY_MAX_BYTES: Final = 16384
 REFUSAL_READ_S: Final = 0.1
+# On a reused connection, responses to earlier requests are discarded up to this
+# number and size, to read the one to the request.
+EARLIER_RESPONSES_MAX: Final = 2
+EARLIER_RESPONSE_MAX_BYTES: Final = 16384
 # A request waits for a free upstream for at most this share of its route's
 # latency goal. After that, a refusal lets the caller try elsewhere.
 QUEUE_TIMEOUT_SHARE_OF_GOAL: Final = 0.12
--- a/apricotpin/components/gateway/decisions.py
+++ b/apricotpin/components/gateway/decisions.py
@@ -1,12 +1,10 @@
 """Decide on retries, waiting times and the failure that a caller receives."""
 
 import enum
-from http import HTTPStatus
 
 from apricotpin.components.gateway import const
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.exchange import Verdict
-from apricotpin.messages.requests import ResponseHead
 from apricotpin.messages.desired import Route, RouteKind
 
 _NOT_SENT = Verdict.CONNECT_FAILED
@@ -83,43 +81,6 @@
     return started_s + timeout_s
 
 
-def classify_head(
-    head: ResponseHead,
-    request_id: str,
-    instance_id: str,
-    is_reused: bool,
-) -> Verdict:
-    """Return the verdict that a response head allows.
-
-    On a reused connection a worker may send an earlier response again, so
-    even a refusal counts only with the id of the request. On a new connection
-    no earlier response exists, and a refusal without an id is accepted.
-
-    A worker also responds "misdirected" while it switches its weights. Only
-    if the response names another instance has that instance taken over the
-    address.
-    """
-    refuses = head.is_misdirected or head.not_run
-    is_unnamed_refusal = refuses and not head.request_id and not is_reused
-    if head.request_id != request_id and not is_unnamed_refusal:
-        return Verdict.MISMATCHED
-    if head.is_misdirected:
-        is_another = is_from_another_instance(head, instance_id)
-        return Verdict.MISDIRECTED if is_another else Verdict.BUSY
-    if head.not_run:
-        return Verdict.BUSY
-    if not head.has_seal or head.has_encoded_body:
-        return Verdict.TRUNCATED
-    if head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-        return Verdict.UPSTREAM_ERROR
-    return Verdict.ANSWERED
-
-
-def is_from_another_instance(head: ResponseHead, instance_id: str) -> bool:
-    """Return whether a response names another instance than the expected."""
-    return head.responder_id not in {'', instance_id}
-
-
 def record_attempt(
     progress: Progress,
     instance_id: str,
--- a/apricotpin/helpers/exchange.py
+++ b/apricotpin/helpers/exchange.py
@@ -14,6 +14,7 @@
 
 CONNECT_TIMEOUT_S: Final = 1.0
 RECEIVE_BYTES: Final = 65536
+_HEAD_END: Final = b'\r\n\r\n'
 # After sleep(0) gevent may resume the same greenlets many times before it
 # polls sockets and timers. A sleep of 1 ms, the shortest that epoll supports,
 # lets them run.
@@ -56,6 +57,8 @@
         'sent',
         '_connection',
         '_deadline_s',
+        '_method',
+        '_received',
         '_silence_timeout_s',
     )
 
@@ -68,6 +71,10 @@
         reused: bool = False,
     ) -> None:
         self.parser = ResponseParser(method)
+        self._method = method
+        # The bytes received on a reused connection, until the response to this
+        # request has begun; None otherwise.
+        self._received = bytearray() if reused else None
         self.reused = reused
         self.sent = False
         self._connection: socket.socket | None = connection
@@ -114,6 +121,35 @@
                 return failed
         return None
 
+    def accept_response(self) -> None:
+        """Confirm that the response whose head was read is to this request."""
+        self._received = None
+
+    def skip_response(self, limit_bytes: int) -> Verdict | None:
+        """Discard the response whose head was read, to read the next one.
+
+        Only one of a stated length up to limit_bytes can be discarded: the
+        parser does not tell where a response ends among the received bytes.
+        """
+        if self._received is None:
+            return Verdict.MISMATCHED
+        length = self.parser.header('Content-Length')
+        head_end = self._received.find(_HEAD_END)
+        is_short = length.isdecimal() and len(length) <= len(str(limit_bytes))
+        if head_end < 0 or not is_short or int(length) > limit_bytes:
+            return Verdict.MISMATCHED
+        end = head_end + len(_HEAD_END) + int(length)
+        deadline_s = self.silence_deadline_s()
+        while len(self._received) < end:
+            failed = self._receive(Verdict.TRUNCATED, deadline_s)
+            if failed:
+                return failed
+        rest = bytes(self._received[end:])
+        self.parser = ResponseParser(self._method)
+        self._received = bytearray(rest)
+        self.parser.parse(rest)
+        return Verdict.RESET if self.parser.is_malformed else None
+
     def read_body_part(
         self, deadline_s: float | None = None
     ) -> Result[bytes, Verdict]:
@@ -188,6 +224,8 @@
             return Verdict.SILENT
         except OSError:
             return on_end
+        if self._received is not None:
+            self._received += received
         self.parser.parse(received)
         if len(received) == RECEIVE_BYTES:
             # recv yields to other greenlets only if no bytes are waiting.
