Derive the pause between shared pieces from the rate of the link

Cause: an agent paused for 0.14 s after each piece that it sent, worked out from 32 KiB on 3.8 Mbit/s. On another link or with other pieces that is not half of the link.

Change: the pause is twice the time of the piece on the link that the settings name, 0.14 s if they name none.

Result: the rows of installer/decisions.feature, at links that differ by ten times either way.

--- a/apricotpin/components/installer/__init__.py
+++ b/apricotpin/components/installer/__init__.py
@@ -47,7 +47,11 @@
     )
     kernel.register(
         SERVICE_WEIGHTS,
-        {FetchChunk: sharing.SharingService(kernel).fetch_chunk},
+        {
+            FetchChunk: sharing.SharingService(
+                kernel, settings.link_bytes_per_s
+            ).fetch_chunk
+        },
         mailbox_size=SHARING_MAILBOX_SIZE,
     )
     return Ok(None)
--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -33,10 +33,13 @@
 SOURCE_STALL_TIMEOUT_S: Final = 3.0
 MANIFEST_INDEX: Final = -1
 STATUS_NOT_YET: Final = 'not_yet'
-# Pause after each piece that this agent sends. A piece of 32 KiB takes 69 ms
-# on an agent's link of 3.8 Mbit/s, so this leaves half of the link to the
-# worker's responses.
-SHARING_PAUSE_S: Final = 0.14
+# An agent that sends a piece pauses for this many times the time that the piece
+# takes on its link. The pause begins when the piece is handed to the link, so
+# that half of the link is left to the worker's responses.
+SHARING_PAUSE_FACTOR: Final = 2.0
+# The pause where the rate of the link is not known: for a piece of 32 KiB on a
+# link of 3.8 Mbit/s.
+SHARING_PAUSE_DEFAULT_S: Final = 0.14
 SHARING_MAILBOX_SIZE: Final = 32
 # Entry hosts send new requests to other workers for this long before a worker
 # loads a version. Streams last 1 s on average, so most of them end in that
--- a/apricotpin/components/installer/sharing.py
+++ b/apricotpin/components/installer/sharing.py
@@ -18,10 +18,11 @@
     mailbox of this service meanwhile.
     """
 
-    __slots__ = ('_kernel',)
+    __slots__ = ('_kernel', '_link_bytes_per_s')
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, kernel: Kernel, link_bytes_per_s: float) -> None:
         self._kernel = kernel
+        self._link_bytes_per_s = link_bytes_per_s
 
     def fetch_chunk(self, message: FetchChunk, reply: Reply) -> None:
         """Reply with a staged piece; the requester checks its digest."""
@@ -30,7 +31,7 @@
             reply.ok(ChunkAnswer(const.STATUS_NOT_YET))
             return
         reply.ok(ChunkAnswer(STATUS_OK, content))
-        gevent.sleep(const.SHARING_PAUSE_S)
+        gevent.sleep(sharing_pause_s(len(content), self._link_bytes_per_s))
 
     def _read_staged(self, message: FetchChunk) -> bytes | None:
         if not message.version.isdigit() or message.index < 0:
@@ -47,3 +48,10 @@
             const.CALL_TIMEOUT_S,
         )
         return staged.unwrap_or(None)
+
+
+def sharing_pause_s(size_bytes: int, link_bytes_per_s: float) -> float:
+    """Return the pause after a piece was handed to the link."""
+    if not link_bytes_per_s:
+        return const.SHARING_PAUSE_DEFAULT_S
+    return const.SHARING_PAUSE_FACTOR * size_bytes / link_bytes_per_s
--- a/apricotpin/host_settings.py
+++ b/apricotpin/host_settings.py
@@ -57,6 +57,7 @@
         'ip',
         'is_first_start',
         'limits',
+        'link_bytes_per_s',
         'log_level',
         'peer_address',
         'peer_listen',
@@ -86,7 +87,10 @@
         service: str,
         limits: OperatorLimits,
         is_first_start: bool = False,
+        link_bytes_per_s: float = 0,
     ) -> None:
+        # Rate of the host's own link, 0 if it is not known.
+        self.link_bytes_per_s = link_bytes_per_s
         # Whether the whole system starts for the first time, with workers
         # that have their weights loaded already.
         self.is_first_start = is_first_start
--- a/apricotpin/platform/settings_file.py
+++ b/apricotpin/platform/settings_file.py
@@ -13,6 +13,7 @@
 from apricotpin.platform import names
 
 _MS_PER_S: Final = 1000.0
+_BYTES_PER_MBIT: Final = 125000
 _ROLES: Final = types.MappingProxyType(
     {
         names.MACHINE_CLASS_ENTRY: ROLE_HOST_ENTRY,
@@ -50,10 +51,18 @@
             return float(found)
         raise self._field_error(name, 'a number')
 
+    def optional_number(self, name: str) -> float | None:
+        """Return a number, None if the field is missing."""
+        return self.number(name) if self.has(name) else None
+
     def flag(self, name: str) -> bool:
         """Return whether a field is true; a missing one counts as false."""
         return self._document.get(name) is True
 
+    def has(self, name: str) -> bool:
+        """Return whether a field is present."""
+        return name in self._document
+
     def nested(self, name: str) -> 'Fields':
         """Return the fields of a nested mapping."""
         return Fields(self._document.get(name), self._join(name))
@@ -122,9 +131,22 @@
         service='' if is_entry else fields.text('service'),
         limits=_decode_limits(fields.nested('bounds')),
         is_first_start=fields.flag('bootstrap'),
+        link_bytes_per_s=_decode_link_rate(fields),
     )
 
 
+def _decode_link_rate(fields: Fields) -> float:
+    """Return the rate of the host's link, 0 if the settings do not name it."""
+    if not fields.has('limits'):
+        return 0
+    rate_mbps = fields.nested('limits').optional_number('link_mbps') or 0
+    if rate_mbps < 0:
+        raise FieldError(
+            f'path=limits.link_mbps value={rate_mbps} expected="0 or more"',
+        )
+    return rate_mbps * _BYTES_PER_MBIT
+
+
 def _decode_limits(fields: Fields) -> OperatorLimits:
     return OperatorLimits(
         config_apply_limit_s=fields.number('config_apply_ms') / _MS_PER_S,
--- a/tests/components/installer/decisions.feature
+++ b/tests/components/installer/decisions.feature
@@ -263,3 +263,18 @@
       | installer fetch   |
       | installer load    |
       | relay fetch       |
+
+  Scenario Outline: after a piece of <size> KiB on a link of <rate> Mbit/s an agent pauses for <pause> s
+    # A fixed pause takes all of a narrower link from the worker's responses,
+    # and slows down copies on a wider one.
+    When installer has sent a piece of <size> KiB on a link of <rate> Mbit/s
+    Then installer pauses for <pause> s
+
+    Examples:
+      | size | rate | pause |
+      | 32   | 3.8  | 0.138 |
+      | 48   | 4.7  | 0.167 |
+      | 32   | 0.38 | 1.38  |
+      | 32   | 38   | 0.014 |
+      | 320  | 3.8  | 1.38  |
+      | 32   | 0    | 0.14  |
--- a/tests/platform/documents.feature
+++ b/tests/platform/documents.feature
@@ -129,6 +129,20 @@
       | bounds = {}               | bounds.config_apply_ms |
       | internal_ports = []       | internal_ports |
       | listen = {"frontend": 1}  | listen.frontend |
+      | limits = {"link_mbps": "fast"} | limits.link_mbps |
+      | limits = {"link_mbps": -1} | limits.link_mbps |
+      | limits = 7                | limits         |
+
+  Scenario Outline: settings with <limits> name a link of <rate> bytes/s
+    Given platform settings with limits = <limits>
+    When platform reads the settings file
+    Then platform settings name a link of <rate> bytes/s
+
+    Examples:
+      | limits              | rate      |
+      | {"link_mbps": 3.8}  | 475000    |
+      | {"link_mbps": 1000} | 125000000 |
+      | {}                  | 0         |
 
   Scenario: settings with unknown fields are read
     Given platform settings with surprise = {"a": 1}
--- a/tests/steps/installer_steps.py
+++ b/tests/steps/installer_steps.py
@@ -13,6 +13,7 @@
 from apricotpin.components.installer import (
     decisions,
     events,
+    sharing,
     switching,
     tasks,
     versions,
@@ -484,3 +485,14 @@
 @then('it waits for the reply without a time limit')
 def check_limit(context):
     assert context.kernel.limits == [None], context.kernel.limits
+
+
+@when('installer has sent a piece of {size:d} KiB on a link of {rate:g} Mbit/s')
+def send_piece(context, size, rate):
+    context.pause_s = sharing.sharing_pause_s(size * 1024, rate * 125000)
+
+
+@then('installer pauses for {pause:g} s')
+def check_pause(context, pause):
+    found = round(context.pause_s * 1000)
+    assert found == round(pause * 1000), found
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -374,3 +374,9 @@
         assert decoded.err_value.kind.value == outcome
     else:
         assert decoded.ok_value.deadline_s == float(outcome)
+
+
+@then('platform settings name a link of {rate:g} bytes/s')
+def check_link_rate(context, rate):
+    found = context.settings.unwrap().link_bytes_per_s
+    assert round(found) == rate, found
