Bound the hellos that a host sends to other data centres

Cause: each entry host sent a hello to every other entry host and every agent once in 0.9 s, and to the agents of its data centre each 0.3 s.

Change: a host sends at most 16 hellos to entry hosts and 16 to agents of other data centres in 0.9 s, in turn; the entry hosts of a data centre share the hellos to its agents. A hello names the time to the next one, and its sender counts as silent after 2.75 of these, 2.5 s at the least. Changes are still announced to all at once.

--- a/apricotpin/components/presence/const.py
+++ b/apricotpin/components/presence/const.py
@@ -3,12 +3,19 @@
 from typing import Final
 
 # Agents learn of declared versions from hellos. Hellos are therefore frequent
-# within a data centre; over the links between data centres, only one in
-# REMOTE_HELLO_EVERY is sent.
+# within a data centre: an agent gets one at each tick from this many of its
+# entry hosts, or from all if there are fewer.
 HELLO_PERIOD_S: Final = 0.3
-REMOTE_HELLO_EVERY: Final = 3
-# Several datagrams in a row have to be lost before a host times out.
+LOCAL_SENDERS_PER_TICK: Final = 7
+# Other hosts get a hello once in this many ticks at the most often.
+SLOW_HELLO_TICKS: Final = 3
+# Hellos that a host sends to entry hosts, and to agents, of other data centres
+# within that time. Where there are more, each gets one less often.
+REMOTE_HELLOS_MAX: Final = 16
+# Several datagrams in a row have to be lost before a host times out: it does
+# after this time, or after this many periods that its hellos name.
 ENTRY_HOST_TIMEOUT_S: Final = 2.5
+MISSED_PERIODS_MAX: Final = 2.75
 AGENT_TIMEOUT_S: Final = 2.5
 # One in this many reports goes to a given host of another data centre.
 REMOTE_REPORT_EVERY: Final = 4
--- a/apricotpin/components/presence/decisions.py
+++ b/apricotpin/components/presence/decisions.py
@@ -35,6 +35,13 @@
         self.message = message
         self.received_s = received_s
 
+    @property
+    def period_s(self) -> float:
+        """Return the longest time to the next message, 0 if not said."""
+        if isinstance(self.message, EntryHello):
+            return self.message.period_ms / 1000
+        return 0
+
 
 def is_usable(message: EntryHello | LoadReport) -> bool:
     """Return whether a received message has its fields and valid addresses.
@@ -67,11 +74,15 @@
     timeout_s: float,
     now_s: float,
 ) -> list[str]:
-    """Remove hosts that sent nothing for over timeout_s; return their keys."""
+    """Remove hosts that sent nothing for too long; return their keys.
+
+    That is timeout_s, or several times the period that a host has named.
+    """
     silent = [
         key
         for key, last in last_messages.items()
-        if now_s - last.received_s > timeout_s
+        if now_s - last.received_s
+        > max(timeout_s, last.period_s * const.MISSED_PERIODS_MAX)
     ]
     for key in silent:
         last_messages.pop(key)
--- a/apricotpin/components/presence/entry_host.py
+++ b/apricotpin/components/presence/entry_host.py
@@ -9,6 +9,7 @@
     const,
     decisions,
     paths,
+    schedule,
     switching,
 )
 from apricotpin.components.presence.datagrams import (
@@ -19,10 +20,10 @@
     UNDECLARED_VERSION,
     DeclaredVersions,
 )
+from apricotpin.components.presence.known_hosts import KnownHosts
 from apricotpin.const import SERVICE_CONFIGURATION, SERVICE_STORE
 from apricotpin.core import Kernel, Reply
 from apricotpin.helpers import clocks
-from apricotpin.helpers.addresses import Address
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages import desired, fleet, upstreams
 from apricotpin.messages.feeds import EntryHost, RecordEntryHost
@@ -41,15 +42,12 @@
     """Track agents and other entry hosts, and send hellos to them."""
 
     __slots__ = (
-        '_agents',
         '_config_version',
         '_declared_versions',
-        '_entry_hosts',
+        '_delays_s',
         '_host_timings',
         '_kernel',
-        '_listed_hosts',
-        '_listed_upstreams',
-        '_models',
+        '_known',
         '_own_host',
         '_resumable_services',
         '_socket',
@@ -65,21 +63,15 @@
         self._kernel = kernel
         self._socket = udp_socket
         self._own_host = make_host_record(settings)
-        # Last report of each agent, by the agent's peer address.
-        self._agents: dict[str, decisions.LastMessage] = {}
-        # Last hello of each other entry host, by host ID.
-        self._entry_hosts: dict[str, decisions.LastMessage] = {}
-        # Hosts and upstreams in the store's lists, by host or instance ID.
-        self._listed_hosts: dict[str, EntryHost] = {}
-        self._listed_upstreams: dict[str, upstreams.UpstreamEntry] = {}
-        # Model of each service that runs one, by service name.
-        self._models: dict[str, str] = {}
+        self._known = KnownHosts(self._own_host)
         self._declared_versions = DeclaredVersions()
         self._host_timings: dict[str, paths.HostTimings] = {}
         # Version of the desired state that is in force here.
         self._config_version = 0
         self._resumable_services: frozenset[str] = frozenset()
         self._ticks = 0
+        # Path delays from each data centre, as measured last.
+        self._delays_s: dict[str, float] = {}
 
     def apply_state(
         self,
@@ -90,14 +82,14 @@
 
         A host that the store refuses learns of the new state from these.
         """
-        self._models = {
+        self._known.models = {
             spec.name: spec.engine.model
             for spec in message.state.services
             if spec.engine is not None
         }
         self._resumable_services = decisions.resumable_services(message.state)
         self._config_version = message.state.version
-        self._send_entry_hellos()
+        self._send_entry_hello(*self._known.entry_receivers())
         reply.ok()
 
     def record_version(
@@ -107,9 +99,9 @@
     ) -> None:
         """Record a declared version, and send hellos that carry it."""
         self._declared_versions.record(message.target, message.declared_for_s)
-        self._send_agent_hellos(local_only=False)
+        self._send_agent_hello(*self._known.agent_receivers())
         # Entry hosts that do not read the store learn of it from hellos only.
-        self._send_entry_hellos()
+        self._send_entry_hello(*self._known.entry_receivers())
         reply.ok()
 
     def record_upstream(
@@ -118,7 +110,7 @@
         reply: Reply,
     ) -> None:
         """Record an upstream, beside which an agent may run."""
-        self._listed_upstreams[message.entry.instance_id] = message.entry
+        self._known.listed_upstreams[message.entry.instance_id] = message.entry
         reply.ok()
 
     def remove_upstream(
@@ -127,7 +119,7 @@
         reply: Reply,
     ) -> None:
         """Remove an upstream that is no longer listed."""
-        self._listed_upstreams.pop(message.instance_id, None)
+        self._known.listed_upstreams.pop(message.instance_id, None)
         reply.ok()
 
     def update_listed_host(
@@ -141,12 +133,14 @@
         """
         host = message.host
         if message.is_listed and host.host_id != self._own_host.host_id:
-            known = self._listed_hosts.get(host.host_id)
-            self._listed_hosts[host.host_id] = host
-            if known is None and host.host_id not in self._entry_hosts:
-                self._send_entry_hello(host.peer_address)
+            known = self._known.listed_hosts.get(host.host_id)
+            self._known.listed_hosts[host.host_id] = host
+            if known is None and host.host_id not in self._known.entry_hosts:
+                self._send_entry_hello(
+                    self._known.receiver(host.peer_address, host.data_centre)
+                )
         else:
-            self._listed_hosts.pop(host.host_id, None)
+            self._known.listed_hosts.pop(host.host_id, None)
         reply.ok()
 
     def handle_datagram(
@@ -165,20 +159,20 @@
     def handle_tick(self, _message: Tick, reply: Reply) -> None:
         """Send the hellos that are due, and remove hosts that timed out."""
         self._ticks += 1
-        is_remote_due = self._ticks % const.REMOTE_HELLO_EVERY == 0
-        self._send_agent_hellos(local_only=not is_remote_due)
-        if is_remote_due:
-            self._send_entry_hellos()
+        self._send_due_hellos()
+        if self._ticks % const.SLOW_HELLO_TICKS == 0:
+            measured_s = clocks.boot_time_s()
+            self._delays_s = paths.delays_from(self._host_timings, measured_s)
             delays_s = paths.round_trip_delays(
-                self._host_timings,
-                self._own_host.data_centre,
-                clocks.boot_time_s(),
+                self._host_timings, self._own_host.data_centre, measured_s
             )
             self._kernel.publish(fleet.PathDelaysMeasured(delays_s))
         now_s = time.monotonic()
-        decisions.remove_silent(self._agents, const.AGENT_TIMEOUT_S, now_s)
+        decisions.remove_silent(
+            self._known.agents, const.AGENT_TIMEOUT_S, now_s
+        )
         silent_ids = decisions.remove_silent(
-            self._entry_hosts,
+            self._known.entry_hosts,
             const.ENTRY_HOST_TIMEOUT_S,
             now_s,
         )
@@ -190,9 +184,9 @@
         reply.ok()
 
     def _handle_hello(self, hello: fleet.EntryHello) -> None:
-        known = self._entry_hosts.get(hello.host_id)
+        known = self._known.entry_hosts.get(hello.host_id)
         paths.record_hello(self._host_timings, hello, clocks.boot_time_s())
-        self._entry_hosts[hello.host_id] = decisions.LastMessage(
+        self._known.entry_hosts[hello.host_id] = decisions.LastMessage(
             hello, time.monotonic()
         )
         if known is None:
@@ -200,7 +194,9 @@
             self._publish_entry_hosts()
             # Responds at once, so that hosts that start at the same time do
             # not wait for the next periodic hello to discover each other.
-            self._send_entry_hello(hello.peer_address)
+            self._send_entry_hello(
+                self._known.receiver(hello.peer_address, hello.data_centre)
+            )
         if hello.config_version > self._config_version:
             self._kernel.send(
                 SERVICE_CONFIGURATION,
@@ -221,19 +217,23 @@
             )
 
     def _handle_report(self, report: fleet.LoadReport) -> None:
-        known = self._agents.get(report.peer_address)
+        known = self._known.agents.get(report.peer_address)
         if not decisions.is_newer(known, report):
             return
-        self._agents[report.peer_address] = decisions.LastMessage(
+        self._known.agents[report.peer_address] = decisions.LastMessage(
             report, time.monotonic()
         )
         self._kernel.publish(report)
         if known is not None and known.message.version != report.version:
             # The next switch group waits for this worker.
-            self._send_agent_hellos(local_only=True)
+            self._send_agent_hello(
+                *(one for one in self._known.agent_receivers() if one.is_local)
+            )
         if known is None:
             logger.bind(agent=report.peer_address).info('agent_discovered')
-            self._send_agent_hello(report.peer_address)
+            self._send_agent_hello(
+                self._known.receiver(report.peer_address, report.data_centre)
+            )
 
     def _publish_entry_hosts(self) -> None:
         others = [
@@ -242,79 +242,74 @@
                 last.message.peer_address,
                 last.message.data_centre,
             )
-            for last in self._entry_hosts.values()
+            for last in self._known.entry_hosts.values()
         ]
         hosts = (self._own_host, *others)
         self._kernel.publish(fleet.EntryHostsChanged(hosts))
 
-    def _send_agent_hellos(self, local_only: bool) -> None:
-        """Send hellos to known agents and to where others may run.
-
-        An agent may run beside each listed worker; it uses the same peer port
-        as this host.
-        """
-        data_centres = {
-            agent: last.message.data_centre
-            for agent, last in self._agents.items()
-        }
-        port = Address.from_text(self._own_host.peer_address).port
-        for entry in self._listed_upstreams.values():
-            if entry.service in self._models:
-                ip = Address.from_text(entry.address).ip
-                data_centres.setdefault(f'{ip}:{port}', entry.data_centre)
+    def _send_due_hellos(self) -> None:
+        """Send the hellos to agents and entry hosts that are due now."""
+        own_id = self._own_host.host_id
         self._send_agent_hello(
-            *(
-                agent
-                for agent, data_centre in data_centres.items()
-                if not local_only or data_centre == self._own_host.data_centre
+            *schedule.select_due(
+                self._known.agent_receivers(),
+                self._known.agent_schedule(),
+                own_id,
+                self._ticks,
+            )
+        )
+        self._send_entry_hello(
+            *schedule.select_due(
+                self._known.entry_receivers(),
+                self._known.entry_schedule(),
+                own_id,
+                self._ticks,
             )
         )
 
-    def _send_agent_hello(self, *agents: str) -> None:
-        """Send a hello to the agents at the addresses."""
+    def _send_agent_hello(self, *agents: schedule.Receiver) -> None:
+        """Send a hello to agents."""
         turns = switching.switch_turns(
-            (last.message for last in self._agents.values()),
+            (last.message for last in self._known.agents.values()),
             self._target_version,
             self._resumable_services,
         )
         hellos = switching.make_agent_hellos(
             self._own_host,
-            self._declared_versions.targets(self._models),
+            self._declared_versions.targets(self._known.models),
             agents,
             turns,
+            self._known.agent_schedule(),
         )
         for addressed in hellos:
             send_to_each(self._socket, addressed.addresses, addressed.hello)
 
     def _target_version(self, report: fleet.LoadReport) -> int:
         """Return the version that an agent installs now or has to next."""
-        model = self._models.get(report.service_name, '')
+        model = self._known.models.get(report.service_name, '')
         return report.installing or self._declared_versions.newest(model)
 
-    def _send_entry_hello(self, *addresses: str) -> None:
-        """Send a hello to the entry hosts at the addresses."""
+    def _send_entry_hello(self, *receivers: schedule.Receiver) -> None:
+        """Send a hello to entry hosts."""
         now_s = clocks.boot_time_s()
         hello = fleet.EntryHello(
             self._own_host.host_id,
             self._own_host.peer_address,
             self._own_host.data_centre,
-            self._declared_versions.targets(self._models),
+            self._declared_versions.targets(self._known.models),
             config_version=self._config_version,
-            earlier=self._declared_versions.earlier(self._models),
+            earlier=self._declared_versions.earlier(self._known.models),
             sent_ms=int(now_s * _MS_PER_S),
-            paths=paths.to_messages(
-                paths.delays_from(self._host_timings, now_s)
-            ),
-        )
-        send_to_each(self._socket, addresses, hello)
-
-    def _send_entry_hellos(self) -> None:
-        """Send a hello to all listed and discovered entry hosts."""
-        addresses = {host.peer_address for host in self._listed_hosts.values()}
-        addresses.update(
-            last.message.peer_address for last in self._entry_hosts.values()
+            paths=paths.to_messages(self._delays_s),
         )
-        self._send_entry_hello(*addresses)
+        hello_schedule = self._known.entry_schedule()
+        for is_local in (True, False):
+            addresses = [
+                one.address for one in receivers if one.is_local == is_local
+            ]
+            if addresses:
+                hello.period_ms = hello_schedule.period_ms(is_local)
+                send_to_each(self._socket, addresses, hello)
 
 
 def make_host_record(settings: HostSettings) -> EntryHost:
--- a/apricotpin/components/presence/switching.py
+++ b/apricotpin/components/presence/switching.py
@@ -4,10 +4,12 @@
 from collections.abc import Callable, Iterable
 
 from apricotpin.components.presence import const
+from apricotpin.components.presence.schedule import HelloSchedule, Receiver
 from apricotpin.messages.feeds import EntryHost
 from apricotpin.messages.fleet import EntryHello, LoadReport, WeightsTarget
 
 TargetVersion = Callable[[LoadReport], int]
+TurnContent = tuple[int, int, int, bool]
 
 
 class SwitchTurn:
@@ -31,7 +33,7 @@
         self.version = version
         self.may_cut = may_cut
 
-    def content(self) -> tuple[int, int, int, bool]:
+    def content(self) -> TurnContent:
         """Return all fields, equal for turns that say the same."""
         return self.waits_for, self.group, self.version, self.may_cut
 
@@ -70,18 +72,21 @@
 def make_agent_hellos(
     own_host: EntryHost,
     targets: list[WeightsTarget],
-    agents: Iterable[str],
+    agents: Iterable[Receiver],
     turns: dict[str, SwitchTurn],
+    schedule: HelloSchedule,
 ) -> list[AddressedHello]:
-    """Return the hellos to agents; agents with equal turns share one."""
+    """Return the hellos to agents; agents with equal content share one."""
     no_turn = SwitchTurn()
-    hellos: dict[tuple[int, int, int, bool], AddressedHello] = {}
+    hellos: dict[tuple[bool, TurnContent], AddressedHello] = {}
     for agent in agents:
-        turn = turns.get(agent, no_turn)
-        if turn.content() not in hellos:
+        turn = turns.get(agent.address, no_turn)
+        key = (agent.is_local, turn.content())
+        if key not in hellos:
             hello = _make_hello(own_host, targets, turn)
-            hellos[turn.content()] = AddressedHello(hello)
-        hellos[turn.content()].addresses.append(agent)
+            hello.period_ms = schedule.period_ms(agent.is_local)
+            hellos[key] = AddressedHello(hello)
+        hellos[key].addresses.append(agent.address)
     return list(hellos.values())
 
 
--- a/apricotpin/messages/fleet.py
+++ b/apricotpin/messages/fleet.py
@@ -41,7 +41,8 @@
     number of workers in earlier groups that still serve a version older than
     turn_version. sent_ms is the sender's boot-time clock, 0 if it was not
     sent. paths holds the delays that the sender measured for datagrams that
-    it received.
+    it received. The next hello to the receiver is sent within period_ms, 0 if
+    that is not said.
     """
 
     __slots__ = (
@@ -52,6 +53,7 @@
         'host_id',
         'may_cut',
         'peer_address',
+        'period_ms',
         'sent_ms',
         'targets',
         'turn',
@@ -73,8 +75,11 @@
         earlier: list[WeightsTarget] | None = None,
         sent_ms: int = 0,
         paths: list[PathDelay] | None = None,
+        period_ms: int | None = 0,
     ) -> None:
         self.sent_ms = sent_ms
+        # Hosts of earlier versions do not send it.
+        self.period_ms = period_ms or 0
         self.paths = paths or []
         # Versions that the targets replaced. The version limit of all older
         # versions is counted from their declaration.
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -159,6 +159,7 @@
   10: list<WeightsTarget> earlier
   11: i64 sent_ms
   12: list<PathDelay> paths
+  13: i32 period_ms
 }
 
 struct LoadReport {
--- a/tests/components/presence/groups.feature
+++ b/tests/components/presence/groups.feature
@@ -123,3 +123,31 @@
       | report | active       | nothing         | drops |
       # An agent of an earlier version does not send this field.
       | report | leaving      | nothing         | uses  |
+
+  Scenario Outline: with <hosts> entry hosts and <agents> agents in each of <centres> data centres, a host sends at most <most> hellos a second
+    # With a hello from each host to each other in every period, the datagrams
+    # of a fleet grow with the square of its size.
+    When presence schedules the hellos of one of <hosts> entry hosts and <agents> agents in each of <centres> data centres
+    Then presence sends at most <most> hellos a second
+    And presence sends each host a hello within the period that it names
+    And an agent gets a hello from an entry host of its data centre every 0.3 s
+
+    Examples:
+      | hosts | agents | centres | most |
+      | 3     | 4      | 3       | 40   |
+      | 15    | 9      | 3       | 70   |
+      | 20    | 12     | 5       | 75   |
+      | 26    | 120    | 15      | 210  |
+
+  Scenario Outline: a host that named a period of <period> s and is silent for <silent> s is <state>
+    When presence has heard a host with a period of <period> s, <silent> s ago
+    Then presence considers the host <state>
+
+    Examples:
+      | period | silent | state  |
+      | 0      | 2.4    | known  |
+      | 0      | 2.6    | silent |
+      | 0.9    | 2.4    | known  |
+      | 0.9    | 2.6    | silent |
+      | 1.8    | 4.9    | known  |
+      | 1.8    | 5.0    | silent |
--- a/tests/steps/presence_steps.py
+++ b/tests/steps/presence_steps.py
@@ -4,7 +4,12 @@
 
 from behave import then, when
 
-from apricotpin.components.presence import decisions, switching
+from apricotpin.components.presence import (
+    const,
+    decisions,
+    schedule,
+    switching,
+)
 from apricotpin.components.presence.declared_versions import DeclaredVersions
 from apricotpin.helpers import clocks
 from apricotpin.helpers.wire import decode_datagram, encode_datagram
@@ -223,3 +228,87 @@
 @then('presence {fate} the message')
 def check_fate(context, fate):
     assert context.is_used == (fate == 'uses')
+
+
+@when(
+    'presence schedules the hellos of one of {hosts:d} entry hosts and '
+    '{agents:d} agents in each of {centres:d} data centres'
+)
+def schedule_hellos(context, hosts, agents, centres):
+    context.schedules = []
+    others = centres - 1
+    for count, made in (
+        (hosts, schedule.schedule_to_entry_hosts(hosts * others)),
+        (agents, schedule.schedule_to_agents(hosts, agents * others)),
+    ):
+        receivers = [
+            schedule.Receiver(f'10.{centre}.0.{number}:7700', not centre)
+            for centre in range(centres)
+            for number in range(count)
+        ]
+        context.schedules.append((made, receivers))
+    context.host_count = hosts
+
+
+def _due(made, receivers, own_id, tick):
+    return schedule.select_due(receivers, made, own_id, tick)
+
+
+@then('presence sends at most {most:d} hellos a second')
+def check_rate(context, most):
+    ticks = 3000
+    count = sum(
+        len(_due(made, receivers, 'e0', tick))
+        for made, receivers in context.schedules
+        for tick in range(ticks)
+    )
+    rate_per_s = count / (ticks * const.HELLO_PERIOD_S)
+    assert rate_per_s <= most, rate_per_s
+
+
+@then('presence sends each host a hello within the period that it names')
+def check_periods(context):
+    for made, receivers in context.schedules:
+        for is_local in (True, False):
+            ticks = made.ticks_of(is_local)
+            addresses = {
+                one.address for one in receivers if one.is_local == is_local
+            }
+            reached = {
+                one.address
+                for tick in range(ticks)
+                for one in _due(made, receivers, 'e0', tick)
+                if one.is_local == is_local
+            }
+            assert reached == addresses
+            period_s = made.period_ms(is_local) / 1000
+            assert round(period_s, 3) == round(ticks * 0.3, 3)
+
+
+@then('an agent gets a hello from an entry host of its data centre every 0.3 s')
+def check_agent(context):
+    made, receivers = context.schedules[1]
+    agent = next(one for one in receivers if one.is_local)
+    for tick in range(9):
+        senders = [
+            number
+            for number in range(context.host_count)
+            if _due(made, [agent], f'e{number}', tick)
+        ]
+        assert senders, tick
+
+
+@when(
+    'presence has heard a host with a period of {period:g} s, {silent:g} s ago'
+)
+def heard_with_period(context, period, silent):
+    hello = _make_hello(period_ms=round(period * 1000))
+    context.known = {'edge-1': decisions.LastMessage(hello, 100.0)}
+    decisions.remove_silent(
+        context.known, const.ENTRY_HOST_TIMEOUT_S, 100 + silent
+    )
+
+
+@then('presence considers the host {state}')
+def check_known(context, state):
+    assert ('edge-1' in context.known) == (state == 'known')
