Prefer connected workers, and read the records of hosts less often

Every host read the records of entry hosts each 6 s; calls to the store were the largest price there.

Change: opening a connection has a cost of 0.08 in the selection, about one slot of twelve. The records are read every half second times the number of hosts, 6 s at the least; hosts are discovered by hellos.

Result: rows of dispatch/choice.feature and follower/sharing.feature.

--- a/apricotpin/components/dispatch/const.py
+++ b/apricotpin/components/dispatch/const.py
@@ -20,6 +20,11 @@
 # another data centre takes a few milliseconds of a latency goal of some
 # hundred.
 REMOTE_COST: Final = 0.35
+# Cost of opening a connection. Where hundreds of hosts use the same workers,
+# each worker gets a request of a given host only every few seconds, after the
+# idle connection has expired. With this cost a host keeps to workers that it
+# is connected to while the others are about as busy, by one slot of twelve.
+CONNECT_COST: Final = 0.08
 # Cost of a worker that is about to switch weights.
 SWITCHING_COST: Final = 4.0
 # Cost of an upstream that fails all its requests.
--- a/apricotpin/components/dispatch/decisions.py
+++ b/apricotpin/components/dispatch/decisions.py
@@ -247,5 +247,7 @@
         cost += const.SWITCHING_COST
     if versions.is_outdated(state, upstream, now_s):
         cost += const.OUTDATED_COST
+    if not upstream.idle_connections:
+        cost += const.CONNECT_COST
     cost += upstream.failure_score * const.FAILURE_COST
     return cost + random_unit() * const.TIE_BREAK_COST_MAX
--- a/apricotpin/components/follower/const.py
+++ b/apricotpin/components/follower/const.py
@@ -10,8 +10,10 @@
 # on, so the list is read well within that.
 UPSTREAMS_PAUSE_S: Final = 0.85
 # Entry hosts discover each other by hellos, so the list of their records is
-# read rarely.
+# read rarely, and the more rarely the more hosts there are: all of them
+# together read it about twice a second.
 HOSTS_PAUSE_S: Final = 6.0
+HOSTS_PAUSE_PER_HOST_S: Final = 0.5
 # Pause after each change, so that a quick series does not cause a read each.
 CHANGES_PAUSE_S: Final = 0.1
 # The pause after a failed read grows from the first value to the second.
--- a/apricotpin/components/follower/decisions.py
+++ b/apricotpin/components/follower/decisions.py
@@ -3,6 +3,8 @@
 from apricotpin.components.follower.compression import compress
 from apricotpin.components.follower.const import (
     AGE_TOLERANCE_S,
+    HOSTS_PAUSE_PER_HOST_S,
+    HOSTS_PAUSE_S,
     RESTORE_TIMEOUT_S,
 )
 from apricotpin.errors import ErrorKind
@@ -176,3 +178,8 @@
         declared_at_s is None
         or now_s - declared_for_s < declared_at_s - AGE_TOLERANCE_S
     )
+
+
+def hosts_pause_s(other_hosts: int) -> float:
+    """Return the pause between two reads of the entry hosts' records."""
+    return max(HOSTS_PAUSE_S, other_hosts * HOSTS_PAUSE_PER_HOST_S)
--- a/apricotpin/components/follower/feed_reads.py
+++ b/apricotpin/components/follower/feed_reads.py
@@ -10,7 +10,7 @@
 from loguru import logger
 from result import Err, Result
 
-from apricotpin.components.follower import const
+from apricotpin.components.follower import const, decisions
 from apricotpin.components.follower.compression import compress, decompress
 from apricotpin.components.follower.events import (
     STORE,
@@ -77,13 +77,21 @@
         if page.is_ok():
             failures = 0
             # Another host responds when something has changed.
-            is_shared = reader.is_shared
-            gevent.sleep(const.CHANGES_PAUSE_S if is_shared else pause_s)
+            gevent.sleep(_pause_s(kernel, reader, pause_s))
         else:
             failures += 1
             gevent.sleep(backoff_s(failures))
 
 
+def _pause_s(kernel: Kernel, reader: 'FeedReader', default_s: float) -> float:
+    """Return the pause after a successful read."""
+    if reader.feed is Feed.HOSTS:
+        peers = kernel.call(SERVICE_CONFIGURATION, GetPeerAddresses())
+        return decisions.hosts_pause_s(len(peers.unwrap_or(())))
+    # Another host responds when something has changed.
+    return const.CHANGES_PAUSE_S if reader.is_shared else default_s
+
+
 def _should_read_store(kernel: Kernel) -> bool:
     return kernel.call(SERVICE_CONFIGURATION, ShouldReadStore()).unwrap_or(True)
 
@@ -97,11 +105,11 @@
 
     __slots__ = (
         '_client',
-        '_feed',
         '_kernel',
         '_store_backoff_until_s',
         '_shared',
         '_wait_s',
+        'feed',
         'is_shared',
         'is_snapshot',
         'offset',
@@ -120,7 +128,7 @@
         self.is_shared = False
         self._shared = SharedListReader(kernel)
         self._kernel = kernel
-        self._feed = feed
+        self.feed = feed
         self._wait_s = wait_s
         self._client = PeerClient()
         self._store_backoff_until_s = float('-inf')
@@ -138,7 +146,7 @@
 
     def _read_shared(self) -> Result[FeedPage, Failure] | None:
         """Return what another host shares, None if the store has to be read."""
-        if self._feed is not Feed.UPSTREAMS:
+        if self.feed is not Feed.UPSTREAMS:
             return None
         sources = self._kernel.call(SERVICE_CONFIGURATION, GetListSources())
         page = self._shared.read(sources.unwrap_or(()))
@@ -174,7 +182,7 @@
         return page
 
     def _read_from_store(self) -> Result[FeedPage, Failure]:
-        return read_store(self._kernel, self._feed, self.offset, self._wait_s)
+        return read_store(self._kernel, self.feed, self.offset, self._wait_s)
 
     def _read_through_peers(self) -> Result[FeedPage, Failure]:
         failed = Err(
@@ -193,7 +201,7 @@
                 self._client,
                 address,
                 ReadFeed(
-                    self._feed.value,
+                    self.feed.value,
                     self.offset,
                     int(self._wait_s * 1000),
                 ),
--- a/tests/components/dispatch/choice.feature
+++ b/tests/components/dispatch/choice.feature
@@ -125,6 +125,9 @@
       | idle      | failing   |
       | remote    | failing   |
       | remote    | half full |
+      # Opening a connection takes a round trip and work at both ends.
+      | connected | idle      |
+      | idle      | connected and busy |
 
   Scenario Outline: with version 2 just declared, a worker that is <better> is selected before one that is <worse>
     # A worker with an outdated version breaks off its streams when it switches.
--- a/tests/components/follower/sharing.feature
+++ b/tests/components/follower/sharing.feature
@@ -58,3 +58,14 @@
     Given follower runs on a host whose reader shares its list
     When follower's host waits for a change and worker b leaves
     Then follower's host has heard of it within 0.2 s
+
+  Scenario Outline: with <others> other entry hosts their records are read every <pause> s
+    # All hosts together read them about twice a second at most.
+    Then follower reads the records of entry hosts every <pause> s with <others> others
+
+    Examples:
+      | others | pause |
+      | 0      | 6.0   |
+      | 8      | 6.0   |
+      | 45     | 22.5  |
+      | 389    | 194.5 |
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -18,7 +18,7 @@
     DispatchService,
 )
 from apricotpin.components.dispatch.state import DispatchState, RequestWindow
-from apricotpin.components.dispatch.upstream import Upstream
+from apricotpin.components.dispatch.upstream import IdleConnection, Upstream
 from apricotpin.components.dispatch.state_updates import StateUpdater
 from apricotpin.components.dispatch.waiting import ExpireWaiters, Waiter
 from apricotpin.core import Kernel, Reply
@@ -106,6 +106,7 @@
         'full by reports': {'active': 16, 'queued': 2},
         'full by an old report': {'active': 16, 'queued': 2},
         'busy': {'active': 8},
+        'connected and busy': {'active': 3},
         'without a free slot': {'active': 16},
         'half full': {'active': 10},
         'switching': {'switching': True},
@@ -122,6 +123,8 @@
         before = make_report(leaving=True, started_ms=4)
         health.record_report(upstream, before, _NOW_S)
         health.record_report(upstream, make_report(), _NOW_S)
+    if described.startswith('connected'):
+        upstream.idle_connections.append(IdleConnection(None, _NOW_S + 1))
     stated = upstream.availability
     stated.is_leaving = stated.is_leaving or described == 'leaving'
     if described in {'paused', 'past its pause'}:
--- a/tests/steps/follower_sharing_steps.py
+++ b/tests/steps/follower_sharing_steps.py
@@ -11,6 +11,7 @@
 
 from apricotpin.components.follower import (
     const,
+    decisions,
     list_sharing,
     readers,
     shared_list,
@@ -315,3 +316,11 @@
 def check_heard(context, limit):
     assert set(context.listed) == {'a', 'c'}, context.listed
     assert context.took_s <= limit, context.took_s
+
+
+@then(
+    'follower reads the records of entry hosts every {pause:g} s with '
+    '{others:d} others'
+)
+def check_hosts_pause(context, pause, others):
+    assert decisions.hosts_pause_s(others) == pause
