Bound the wait for a response after one to another request

Cause: a worker that sends the response to another request in place of its own kept its caller waiting until the deadline since such responses are discarded; tests/platform/fleet.feature:25 failed once in a whole run (504 for 502), when its request used a kept connection.

Change: after a discarded response the request's own has to begin within twice the route's latency goal, 0.3 s at the least; the attempt then ends as crossed_answer.

Result: two new rows of kept_connections.feature; not run on the code before.

--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -196,26 +196,41 @@
 
     A worker may send the response to an earlier request once more, late.
     """
-    for _ in range(const.EARLIER_RESPONSES_MAX + 1):
-        failed = attempt.exchange.read_head()
-        if failed:
-            return failed
-        parser = attempt.exchange.parser
-        attempt.head = context.codec.decode_response(
-            parser.get_code(),
-            list(parser.items()),
+    exchange, progress = attempt.exchange, context.progress
+    failed = _read_head(context, attempt)
+    for _ in range(const.EARLIER_RESPONSES_MAX):
+        if failed or not _is_to_earlier(context, attempt):
+            break
+        exchange.set_silence_timeout(
+            decisions.own_response_wait_s(progress, time.monotonic())
         )
-        is_reused = attempt.exchange.reused
-        request_id = context.head.request_id
-        if not responses.is_to_earlier(attempt.head, request_id, is_reused):
-            attempt.exchange.accept_response()
-            return None
-        failed = attempt.exchange.skip_response(
-            const.EARLIER_RESPONSE_MAX_BYTES
-        )
-        if failed:
-            return failed
-    return Verdict.MISMATCHED
+        failed = exchange.skip_response(const.EARLIER_RESPONSE_MAX_BYTES)
+        failed = failed or _read_head(context, attempt)
+        if failed is Verdict.SILENT:
+            return Verdict.MISMATCHED
+    exchange.accept_response()
+    exchange.set_silence_timeout(
+        decisions.silence_timeout_s(progress, time.monotonic())
+    )
+    return failed
+
+
+def _read_head(context: RequestContext, attempt: Attempt) -> Verdict | None:
+    failed = attempt.exchange.read_head()
+    if failed:
+        return failed
+    parser = attempt.exchange.parser
+    attempt.head = context.codec.decode_response(
+        parser.get_code(),
+        list(parser.items()),
+    )
+    return None
+
+
+def _is_to_earlier(context: RequestContext, attempt: Attempt) -> bool:
+    return responses.is_to_earlier(
+        attempt.head, context.head.request_id, attempt.exchange.reused
+    )
 
 
 def _read_response(context: RequestContext, attempt: Attempt) -> Verdict:
--- a/apricotpin/components/gateway/const.py
+++ b/apricotpin/components/gateway/const.py
@@ -30,6 +30,10 @@
 # number and size, to read the one to the request.
 EARLIER_RESPONSES_MAX: Final = 2
 EARLIER_RESPONSE_MAX_BYTES: Final = 16384
+# After that, the request's own response has to begin within this time, or
+# within twice the route's latency goal. A worker may also have sent the other
+# response in place of it.
+OWN_RESPONSE_WAIT_MIN_S: Final = 0.3
 # A request waits for a free upstream for at most this share of its route's
 # latency goal. After that, a refusal lets the caller try elsewhere.
 QUEUE_TIMEOUT_SHARE_OF_GOAL: Final = 0.12
--- a/apricotpin/components/gateway/decisions.py
+++ b/apricotpin/components/gateway/decisions.py
@@ -185,6 +185,13 @@
     return remaining_s * const.IDEMPOTENT_SILENCE_SHARE
 
 
+def own_response_wait_s(progress: Progress, now_s: float) -> float:
+    """Return how long to wait for a response after one to another request."""
+    goal_s = progress.route.latency_goal_s * const.SILENCE_GOAL_FACTOR
+    wait_s = max(const.OWN_RESPONSE_WAIT_MIN_S, goal_s)
+    return min(wait_s, silence_timeout_s(progress, now_s))
+
+
 def event_silence_timeout_s(progress: Progress, now_s: float) -> float:
     """Return how long a worker may stay silent between two events.
 
--- a/tests/components/gateway/kept_connections.feature
+++ b/tests/components/gateway/kept_connections.feature
@@ -26,6 +26,11 @@
       | non_idempotent | a refusal                | while it runs       | 200      | answered                 | 1    |
       | idempotent     | a response               | while it runs       | 200      | answered                 | 1    |
 
+    Examples: a response to another request in place of its own
+      | kind           | earlier                  | when                | response | verdicts                 | runs |
+      | non_idempotent | a response               | without an own one  | 502      | crossed_answer           | 1    |
+      | idempotent     | a response               | without an own one  | 200      | crossed_answer, answered | 2    |
+
     Examples: earlier responses whose end or request is not known
       | kind           | earlier                  | when                | response | verdicts                 | runs |
       | non_idempotent | a refusal without an id  | before the response | 502      | crossed_answer           | 1    |
--- a/tests/steps/gateway_kept_steps.py
+++ b/tests/steps/gateway_kept_steps.py
@@ -13,6 +13,8 @@
 
 _RUN_S = 0.05
 _STREAM_S = 0.3
+# Longer than the time limit of the requests.
+_SILENT_S = 3.0
 _SEAL = b'X-Server-Seal: s\r\n'
 _OWN = b'X-Attempt-Id: r1\r\n'
 _REFUSED = b'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n'
@@ -142,6 +144,9 @@
         if moment == 'before the response':
             connection.sendall(repeated + response)
             sleep(_RUN_S)
+        elif moment == 'without an own one':
+            connection.sendall(repeated)
+            sleep(_SILENT_S)
         elif moment == 'before the end':
             connection.sendall(repeated)
         else:
