Print the error of each failed step after a test run

Cause: the progress format names a failed row only. The assertion of a row that failed once in many runs (KNOWN-RED 10) was lost each time.

Result: shown on a scenario made to fail; the line names the step and its error.

--- a/script/run_tests.py
+++ b/script/run_tests.py
@@ -9,6 +9,9 @@
 ROOT = pathlib.Path(__file__).parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 KNOWN_RED_TAG = 'known_red'
+FAILED_STATUSES = ('failed', 'error')
+# Lines at the end of an error that name it.
+ERROR_LINES = 3
 
 
 def run_behave(arguments, report_path):
@@ -28,15 +31,38 @@
     return subprocess.run(command, cwd=ROOT, check=False).returncode
 
 
-def count_scenarios(report_path):
-    """Return the numbers of scenarios that passed and that failed."""
+def read_scenarios(report_path):
+    """Return the scenarios of behave's report."""
     features = json.loads(pathlib.Path(report_path).read_text())
-    outcomes = [
-        element['status']
+    return [
+        element
         for feature in features
         for element in feature.get('elements', [])
         if element['type'] == 'scenario'
     ]
+
+
+def describe_failures(scenarios):
+    """Return a line for each failed step, with the end of its error.
+
+    The progress format names the scenario only, and a row that fails once in
+    many runs leaves nothing else to trace it by.
+    """
+    return [
+        'failed: {0}: {1}: {2}'.format(
+            scenario['location'],
+            step['name'],
+            ' '.join(step['result'].get('error_message', ())[-ERROR_LINES:]),
+        )
+        for scenario in scenarios
+        for step in scenario.get('steps', [])
+        if step.get('result', {}).get('status') in FAILED_STATUSES
+    ]
+
+
+def count_scenarios(scenarios):
+    """Return the numbers of scenarios that passed and that failed."""
+    outcomes = [scenario['status'] for scenario in scenarios]
     passed = outcomes.count('passed')
     skipped = outcomes.count('skipped') + outcomes.count('untested')
     return passed, len(outcomes) - passed - skipped
@@ -68,7 +94,10 @@
     """Run all feature files, or those named on the command line."""
     with tempfile.NamedTemporaryFile(suffix='.json') as report:
         exit_code = run_behave(sys.argv[1:], report.name)
-        passed, failed = count_scenarios(report.name)
+        scenarios = read_scenarios(report.name)
+    passed, failed = count_scenarios(scenarios)
+    for line in describe_failures(scenarios):
+        print(line)
     unlisted = check_known_red()
     for scenario in unlisted:
         print(f'tagged known red, but missing from KNOWN-RED.txt: {scenario}')
