--- a/script/run_tests.py
+++ b/script/run_tests.py
@@ -42,6 +42,14 @@
     ]
 
 
+def error_lines(outcome):
+    """Return the lines of a step's error; behave gives a text or a list."""
+    message = outcome.get('error_message', '')
+    if isinstance(message, list):
+        return message
+    return [line.strip() for line in message.splitlines() if line.strip()]
+
+
 def describe_failures(scenarios):
     """Return a line for each failed step, with the end of its error.
 
@@ -52,7 +60,7 @@
         'failed: {0}: {1}: {2}'.format(
             scenario['location'],
             step['name'],
-            ' '.join(step['result'].get('error_message', ())[-ERROR_LINES:]),
+            ' '.join(error_lines(step['result'])[-ERROR_LINES:]),
         )
         for scenario in scenarios
         for step in scenario.get('steps', [])
