--- a/apricotpin/components/follower/feed_reads.py
+++ b/apricotpin/components/follower/feed_reads.py
@@ -76,7 +76,6 @@
         )
         if page.is_ok():
             failures = 0
-            # Another host responds when something has changed.
             gevent.sleep(_pause_s(kernel, reader, pause_s))
         else:
             failures += 1
--- a/apricotpin/components/follower/shared_list.py
+++ b/apricotpin/components/follower/shared_list.py
@@ -1,5 +1,6 @@
 """The list of upstreams as a reader shares it with hosts of its data centre."""
 
+import itertools
 import uuid
 from collections.abc import Iterable
 
@@ -98,10 +99,15 @@
         list_id != shared.list_id or revision < shared.forgotten_revision
     )
     known_revision = 0 if is_complete else revision
+    # The entries are in the order of their last changes, so that a reply costs
+    # what has changed and not the length of the list.
+    changed = itertools.takewhile(
+        lambda item: item[1].revision > known_revision,
+        reversed(shared.entries.items()),
+    )
     records = [
         FeedRecord(key, compress(one.content) if one.entry else b'')
-        for key, one in shared.entries.items()
-        if one.revision > known_revision
+        for key, one in changed
     ]
     if is_complete:
         # A whole list names the removed upstreams by leaving them out.
