--- a/apricotpin/components/follower/list_sharing.py
+++ b/apricotpin/components/follower/list_sharing.py
@@ -1,6 +1,7 @@
 """Share the list of upstreams with other hosts, and read it from them."""
 
 import time
+from typing import Any
 
 import gevent
 from result import Err, Result
@@ -182,5 +183,5 @@
     return FeedRecord(record.key, content)
 
 
-def _failed(detail: str) -> Result[FeedPage, Failure]:
+def _failed(detail: str) -> Result[Any, Failure]:
     return Err(Failure(ErrorKind.PEER_UNAVAILABLE, detail))
--- a/tests/components/presence/groups.feature
+++ b/tests/components/presence/groups.feature
@@ -151,3 +151,13 @@
       | 0.9    | 2.6    | silent |
       | 1.8    | 4.9    | known  |
       | 1.8    | 5.0    | silent |
+
+  Scenario Outline: a socket whose reads <outcome> is read at most <most> times in 0.1 s
+    # An error that lasts must not keep the processor busy.
+    When presence receives datagrams from a socket whose reads <outcome>
+    Then presence reads the socket at most <most> times in 0.1 s
+
+    Examples:
+      | outcome                     | most |
+      | fail                        | 12   |
+      | return bytes that are noise | 1000 |
--- a/tests/steps/presence_steps.py
+++ b/tests/steps/presence_steps.py
@@ -3,14 +3,17 @@
 import random
 
 from behave import then, when
+from gevent import sleep, spawn
 
 from apricotpin.components.presence import (
     const,
+    datagrams,
     decisions,
     schedule,
     switching,
 )
 from apricotpin.components.presence.declared_versions import DeclaredVersions
+from apricotpin.core import Kernel
 from apricotpin.helpers import clocks
 from apricotpin.helpers.wire import decode_datagram, encode_datagram
 from apricotpin.messages.desired import ModelVersion, RouteKind
@@ -20,6 +23,8 @@
 from tests.steps.routes_steps import make_route, make_state
 
 _REPORTS = 60
+_TICK_S = 0.001
+_WATCHED_S = 0.1
 _ROUTES = {
     'resumable': {'kind': RouteKind.STREAM, 'resumable': True},
     'idempotent': {},
@@ -312,3 +317,31 @@
 @then('presence considers the host {state}')
 def check_known(context, state):
     assert ('edge-1' in context.known) == (state == 'known')
+
+
+class _Socket:
+    """Fail, or return noise after a short wait, and count the reads."""
+
+    def __init__(self, fails):
+        self.reads = 0
+        self._fails = fails
+
+    def recv(self, _size):
+        self.reads += 1
+        if self._fails:
+            raise OSError('unusable')
+        sleep(_TICK_S)
+        return b'noise'
+
+
+@when('presence receives datagrams from a socket whose reads {outcome}')
+def receive_from(context, outcome):
+    context.socket = _Socket(outcome == 'fail')
+    receiver = spawn(datagrams.receive_forever, Kernel('entry'), context.socket)
+    sleep(_WATCHED_S)
+    receiver.kill()
+
+
+@then('presence reads the socket at most {most:d} times in 0.1 s')
+def check_reads(context, most):
+    assert 0 < context.socket.reads <= most, context.socket.reads
