Log dropped published messages and from where a desired state is fetched

The lines of the incident could not tell a host that lacks a desired state from one that has it and whose route table missed the message: a message that a full mailbox refuses was dropped in silence. publish logs message_dropped. desired_state_heard names whether the host asked is in this data centre and for how long the state was lacked, which tells the hypotheses on the choice of a source apart.

--- a/apricotpin/components/follower/peer_exchange.py
+++ b/apricotpin/components/follower/peer_exchange.py
@@ -162,10 +162,13 @@
             return
         address = readers.select_source(state, now_s)
         if address is not None:
+            lacked_s = readers.outdated_for_s(state, now_s)
             logger.bind(
                 version=state.peer_versions[address],
                 entry_host=address,
+                place=readers.source_label(state, address),
                 known=state.own_version,
+                lacked_ms=int(lacked_s * _MS_PER_S),
             ).info('desired_state_heard')
             readers.record_fetch(state, address, now_s)
             self._kernel.spawn(
--- a/apricotpin/core.py
+++ b/apricotpin/core.py
@@ -146,7 +146,14 @@
     def publish(self, message: Any) -> None:
         """Send a message to every service that handles its class."""
         for name in self.services_handling(type(message)):
-            self.send(name, message)
+            sent = self.send(name, message)
+            if sent.is_err():
+                # The service keeps what it knew before this message.
+                logger.bind(
+                    service=name,
+                    message_type=type(message).__name__,
+                    error=sent.err_value.detail,
+                ).warning('message_dropped')
 
     def services_handling(self, message_class: type) -> list[str]:
         """Return the services that handle messages of a class."""
--- a/tests/core.feature
+++ b/tests/core.feature
@@ -25,3 +25,14 @@
       | sent | refused |
       | 2    | 0       |
       | 5    | 3       |
+
+  Scenario Outline: of <published> published messages the log names <dropped> that a full mailbox of 2 dropped
+    # A service that misses a message goes on with what it knew before.
+    Given a kernel with service "worker" that doubles
+    When <published> messages are published at once
+    Then the log names <dropped> messages that "worker" did not receive
+
+    Examples:
+      | published | dropped |
+      | 2         | 0       |
+      | 5         | 3       |
--- a/tests/steps/core_steps.py
+++ b/tests/steps/core_steps.py
@@ -2,6 +2,7 @@
 
 import gevent
 from behave import given, then, when
+from loguru import logger
 
 from apricotpin.core import Kernel
 
@@ -80,3 +81,21 @@
         sent.err_value.kind.value for sent in context.sent if sent.is_err()
     ]
     assert refused == [kind] * count, refused
+
+
+@when('{count:d} messages are published at once')
+def publish_messages(context, count):
+    """Publish all messages before the service can handle one."""
+    context.logged = []
+    sink = logger.add(context.logged.append, format='{message} {extra}')
+    context.cleanups.append(lambda: logger.remove(sink))
+    for number in range(count):
+        context.kernel.publish(Ping(number))
+
+
+@then('the log names {count:d} messages that "{name}" did not receive')
+def check_logged_drops(context, count, name):
+    """Compare the number of log lines on dropped messages of a service."""
+    dropped = [line for line in context.logged if 'message_dropped' in line]
+    assert len(dropped) == count, context.logged
+    assert all(f"'service': '{name}'" in line for line in dropped), dropped
