Add a failing test of a reader that stays on an old desired state

The test plays a reader whose own reads arrive late, beside neighbours that have each change at once and hosts of other data centres that deliver too late.

--- a/tests/components/follower/readers.feature
+++ b/tests/components/follower/readers.feature
@@ -100,3 +100,18 @@
       | first | second | cached |
       | 99    | 100    | 100    |
       | 100   | 99     | 100    |
+
+  @known_red
+  Scenario Outline: a reader whose reads arrive late lacks no state for over 2 s during <changes> changes
+    # Hosts of its data centre respond at once, those of others too late. A host
+    # that asks the others first has an old state while its neighbours have the
+    # new one.
+    Given follower runs on a host that reads and is healthy
+    When follower reads each of <changes> changes, one every <gap> s, too late
+    Then follower has lacked no state for over 2 s
+
+    Examples:
+      | changes | gap  |
+      | 10      | 1.6  |
+      | 40      | 1.6  |
+      | 40      | 0.26 |
--- a/tests/steps/follower_readers_steps.py
+++ b/tests/steps/follower_readers_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from apricotpin.components.follower import decisions, readers
+from apricotpin.components.follower import const, decisions, readers
 from apricotpin.components.follower.compression import decompress
 from apricotpin.messages.feeds import EntryHost, Feed, FeedEntry, FeedPage
 
@@ -214,3 +214,73 @@
 def waits_for(context, left):
     found = readers.fetch_pause_left_s(context.source_state, _NOW_S)
     assert round(found, 3) == left, found
+
+
+class _LateReader:
+    """Play a host that gets desired states only by fetches from other hosts.
+
+    Each other host has a change as soon as it is made. A host of the own data
+    centre delivers it within a step, one of another data centre does not
+    deliver it before the time limit of a fetch.
+    """
+
+    def __init__(self, state):
+        self.state = state
+        self.newest = _OWN_VERSION
+        self.longest_lack_s = 0
+        self.fetch_ends_s = {}
+
+    def announce_change(self, now_s):
+        """Receive hellos of all other hosts that name the next version."""
+        self.newest += 1
+        for host in self.state.hosts[1:]:
+            readers.record_peer_version(
+                self.state, host.peer_address, self.newest, now_s
+            )
+
+    def step(self, now_s):
+        """End the fetches that are due, then start one if possible."""
+        ended = [
+            fetched_from
+            for fetched_from, ends_s in self.fetch_ends_s.items()
+            if ends_s <= now_s
+        ]
+        for source in ended:
+            self._end_fetch(source)
+        lacked_s = readers.outdated_for_s(self.state, now_s)
+        self.longest_lack_s = max(self.longest_lack_s, lacked_s)
+        address = readers.select_source(self.state, now_s)
+        if address is None:
+            return
+        readers.record_fetch(self.state, address, now_s)
+        label = readers.source_label(self.state, address)
+        duration_s = 0 if label == readers.NEAR else const.FETCH_TIMEOUT_S
+        self.fetch_ends_s[address] = now_s + duration_s
+
+    def _end_fetch(self, address):
+        self.fetch_ends_s.pop(address)
+        self.state.fetching_from.discard(address)
+        if readers.source_label(self.state, address) == readers.NEAR:
+            readers.record_own_version(self.state, self.newest)
+
+
+@when(
+    'follower reads each of {changes:d} changes, one every {gap:g} s, too late'
+)
+def reads_too_late(context, changes, gap):
+    host = _LateReader(context.source_state)
+    step_s = const.FETCH_CHECK_DELAY_S
+    change_due_s = _NOW_S
+    now_s = _NOW_S
+    while now_s < _NOW_S + changes * gap + 1:
+        if now_s >= change_due_s and host.newest < _OWN_VERSION + changes:
+            host.announce_change(now_s)
+            change_due_s += gap
+        host.step(now_s)
+        now_s += step_s
+    context.longest_lack_s = host.longest_lack_s
+
+
+@then('follower has lacked no state for over {limit:g} s')
+def lacked_no_state(context, limit):
+    assert context.longest_lack_s <= limit, context.longest_lack_s
