--- a/apricotpin/components/follower/readers.py
+++ b/apricotpin/components/follower/readers.py
@@ -112,8 +112,12 @@
         for newer, since_s in state.missing_since_s.items()
         if newer > version
     }
-    state.peer_versions = _select_newer(state.peer_versions, version)
-    state.awaited_versions = _select_newer(state.awaited_versions, version)
+    for versions in (state.peer_versions, state.awaited_versions):
+        outdated = [
+            address for address, newer in versions.items() if newer <= version
+        ]
+        for address in outdated:
+            versions.pop(address)
 
 
 def record_peer_version(
@@ -230,14 +234,6 @@
     return max(0, fetched_s + pause_s - now_s)
 
 
-def _select_newer(versions: dict[str, int], version: int) -> dict[str, int]:
-    return {
-        address: newer
-        for address, newer in versions.items()
-        if newer > version
-    }
-
-
 def _may_start_fetch(state: SourceState, now_s: float) -> bool:
     if len(state.fetching_from) >= const.CONCURRENT_FETCHES_MAX:
         return False
