--- a/script/platform_fleet.py
+++ b/script/platform_fleet.py
@@ -193,7 +193,9 @@
         self.body = body
 
 
-def send(ip, path, request_id='req-1', key='key-1', method='GET'):
+def send(
+    ip, path, request_id='req-1', key='key-1', method='GET', more_headers=None
+):
     """Send a request to an entry host and read the entire response."""
     connection = HTTPConnection(ip, 8005, timeout=8)
     headers = {
@@ -201,6 +203,7 @@
         'X-Attempt-Id': request_id,
         'X-Deadline-Ms': '3000',
         'Authorization': f'Token {key}',
+        **(more_headers or {}),
     }
     try:
         connection.request(method, path, headers=headers)
--- a/script/standins/platform_worker.py
+++ b/script/standins/platform_worker.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import time
 from collections.abc import Callable, Iterator
 from typing import Any, Final
 from urllib.parse import parse_qsl
@@ -13,6 +14,10 @@
 PIECE_BYTES: Final = 1024
 _EVENTS: Final = 4
 _EVENT_INTERVAL_S: Final = 0.05
+# How long a crashed worker does not respond, and from the start of a response
+# to the crash.
+CRASHED_S: Final = 1.0
+_CRASH_DELAY_S: Final = 0.03
 
 
 def piece_of(version: int, index: int) -> bytes:
@@ -22,6 +27,29 @@
     )
 
 
+class PromptCrashes:
+    """Hold which parts of prompts crash a worker, and its crashes.
+
+    Times are on the monotonic clock; arrivals_s are those of the requests with
+    a deadly part. on_restart is called when the worker is back.
+    """
+
+    __slots__ = (
+        'arrivals_s',
+        'deadly_parts',
+        'down_until_s',
+        'on_restart',
+        'times_s',
+    )
+
+    def __init__(self) -> None:
+        self.deadly_parts: frozenset[str] = frozenset()
+        self.arrivals_s: list[float] = []
+        self.times_s: list[float] = []
+        self.down_until_s: float = 0
+        self.on_restart: Callable[[], None] | None = None
+
+
 class PlatformWorker:
     """Respond to requests as a worker does, with a fault on the next one.
 
@@ -30,9 +58,14 @@
     request's id, broken_stream breaks off within event 3, slow delays the
     response by 5 s, and error responds with 500. on_fault is called when a
     request gets the fault.
+
+    A request whose prompt has a part of crashes.deadly_parts crashes the worker
+    when it begins to write: all connections break, and nothing responds for
+    CRASHED_S.
     """
 
     __slots__ = (
+        'crashes',
         'executed_ids',
         'fault',
         'instance_id',
@@ -54,9 +87,11 @@
         self.requests: list[dict[str, Any]] = []
         self.staged: dict[int, bytes] = {}
         self.orders: list[dict[str, Any]] = []
+        self.crashes = PromptCrashes()
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Any:
         """Respond to one request, as a WSGI application."""
+        self._raise_if_crashed(self.started_ms)
         path = environ['PATH_INFO']
         body = environ['wsgi.input'].read()
         query = dict(parse_qsl(environ['QUERY_STRING']))
@@ -114,6 +149,10 @@
             not_run = [headers[0], ('X-Not-Executed', '1')]
             return _respond(start_response, 503, b'', not_run)
         self.executed_ids.append(request_id)
+        if self.crashes.deadly_parts & set(_prompt_parts(environ)):
+            self.crashes.arrivals_s.append(time.monotonic())
+            gevent.sleep(_CRASH_DELAY_S)
+            self._crash()
         if fault == 'reset':
             raise ConnectionResetError(104, 'reset by a fault')
         if fault == 'crossed':
@@ -126,10 +165,38 @@
             headers.append(('Content-Type', 'text/event-stream'))
             start_response('200 OK', headers)
             last_event_id = int(environ.get('HTTP_LAST_EVENT_ID') or 0)
-            return _events(last_event_id, fault == 'broken_stream')
+            return self._events(last_event_id, fault == 'broken_stream')
         status = 500 if fault == 'error' else 200
         return _respond(start_response, status, b'answer', headers)
 
+    def _crash(self) -> None:
+        now_s = time.monotonic()
+        if now_s >= self.crashes.down_until_s:
+            self.crashes.times_s.append(now_s)
+            self.crashes.down_until_s = now_s + CRASHED_S
+            self.started_ms += 1
+            if self.crashes.on_restart is not None:
+                gevent.spawn_later(CRASHED_S, self.crashes.on_restart)
+        self._raise_if_crashed(self.started_ms)
+
+    def _raise_if_crashed(self, started_ms: int) -> None:
+        """Break the connection of a request of another start of the worker."""
+        is_down = time.monotonic() < self.crashes.down_until_s
+        if is_down or started_ms != self.started_ms:
+            raise ConnectionResetError(104, 'the worker has crashed')
+
+    def _events(
+        self, last_event_id: int, is_broken_off: bool
+    ) -> Iterator[bytes]:
+        started_ms = self.started_ms
+        for number in range(last_event_id + 1, _EVENTS + 1):
+            yield f'id: {number}\ndata: token {number}\n\n'.encode()
+            gevent.sleep(_EVENT_INTERVAL_S)
+            self._raise_if_crashed(started_ms)
+            if is_broken_off and number == 2:
+                yield b'id: 3\ndata: to'
+                raise ConnectionResetError(104, 'broken off by a fault')
+
 
 class PlatformOrigin:
     """Serve manifests and pieces; corrupt the next corrupt_next pieces."""
@@ -175,10 +242,7 @@
     return [content]
 
 
-def _events(last_event_id: int, is_broken_off: bool) -> Iterator[bytes]:
-    for number in range(last_event_id + 1, _EVENTS + 1):
-        yield f'id: {number}\ndata: token {number}\n\n'.encode()
-        gevent.sleep(_EVENT_INTERVAL_S)
-        if is_broken_off and number == 2:
-            yield b'id: 3\ndata: to'
-            raise ConnectionResetError(104, 'broken off by a fault')
+def _prompt_parts(environ: dict[str, Any]) -> list[str]:
+    """Return the parts of a prompt but for the last, which no other has."""
+    parts = environ.get('HTTP_X_PROMPT_PREFIX', '').split(',')
+    return [part.partition(':')[0].strip() for part in parts[:-1]]
--- a/tests/steps/platform_fleet_steps.py
+++ b/tests/steps/platform_fleet_steps.py
@@ -17,13 +17,18 @@
 _EVENTS = 4
 
 
+@given('a platform fleet without workers')
+def start_stand_ins(context):
+    # Concurrent test runs use different addresses.
+    context.fleet = Fleet(f'127.{40 + os.getpid() % 80}')
+    context.cleanups = [context.fleet.close]
+    context.fleet.put_desired_state()
+
+
 @given('a platform fleet with {count:d} workers')
 def start_fleet(context, count):
-    # Concurrent test runs use different addresses.
-    fleet = Fleet(f'127.{40 + os.getpid() % 80}')
-    context.fleet = fleet
-    context.cleanups = [fleet.close]
-    fleet.put_desired_state()
+    start_stand_ins(context)
+    fleet = context.fleet
     for number in range(count):
         fleet.add_worker(number + 1)
     context.ip = fleet.start('edge-1', 'edge', 1)
