Let only the rest of a stream follow a stream that has begun

Cause: when a worker broke off, each sealed response of the next one with a status under 500 was read as the rest of the stream, whatever its status and type. Change: the response has to be a 200 of type text/event-stream, or of no stated type. After events have been sent, any other one is an attempt that failed (not_a_stream); before, it is delivered whole, with its length.

--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -244,9 +244,12 @@
         attempt.exchange.reused,
     )
     _report_availability(context, attempt)
-    is_stream = context.resolved.route.kind is RouteKind.STREAM
-    if is_stream and verdict is Verdict.ANSWERED:
-        return _start_stream(context, attempt)
+    if verdict is Verdict.ANSWERED:
+        is_stream = context.resolved.route.kind is RouteKind.STREAM
+        if is_stream and responses.is_event_stream(attempt.head):
+            return _start_stream(context, attempt)
+        if context.has_sent_events:
+            return Verdict.NOT_A_STREAM
     return _read_body(context, attempt, verdict)
 
 
--- a/apricotpin/components/gateway/responses.py
+++ b/apricotpin/components/gateway/responses.py
@@ -1,10 +1,13 @@
 """Decide what the head of an upstream's response means for its request."""
 
 from http import HTTPStatus
+from typing import Final
 
 from apricotpin.helpers.exchange import Verdict
 from apricotpin.messages.requests import ResponseHead
 
+_EVENT_STREAM: Final = 'text/event-stream'
+
 
 def classify_head(
     head: ResponseHead,
@@ -38,6 +41,15 @@
     return Verdict.ANSWERED
 
 
+def is_event_stream(head: ResponseHead) -> bool:
+    """Return whether a response is a stream of events, not another document.
+
+    A worker that does not state a type sends events.
+    """
+    has_events = head.content_type in {'', _EVENT_STREAM}
+    return has_events and head.status == HTTPStatus.OK
+
+
 def is_to_earlier(head: ResponseHead, request_id: str, is_reused: bool) -> bool:
     """Return whether a response is to an earlier request on its connection."""
     return is_reused and head.request_id not in {'', request_id}
--- a/apricotpin/helpers/exchange.py
+++ b/apricotpin/helpers/exchange.py
@@ -42,6 +42,8 @@
     TOO_LARGE = 'answer_too_large'
     MISDIRECTED = 'misdirected'
     UPSTREAM_ERROR = 'upstream_error'
+    # A stream that has begun was to be continued.
+    NOT_A_STREAM = 'not_a_stream'
     CALLER_LEFT = 'caller_left'
 
 
--- a/apricotpin/messages/requests.py
+++ b/apricotpin/messages/requests.py
@@ -96,9 +96,11 @@
     version that of its weights; they are empty and 0 if the response names
     none. is_leaving is true if the upstream states that it shuts down. pause_s
     is for how long it asks for no further requests, 0 if it does not ask.
+    content_type is the type of the body without parameters, in lower case.
     """
 
     __slots__ = (
+        'content_type',
         'has_encoded_body',
         'has_seal',
         'headers',
@@ -127,7 +129,9 @@
         version: int = 0,
         is_leaving: bool = False,
         pause_s: float = 0,
+        content_type: str = '',
     ) -> None:
+        self.content_type = content_type
         self.is_leaving = is_leaving
         self.pause_s = pause_s
         self.responder_id = responder_id
--- a/apricotpin/platform/call_codec.py
+++ b/apricotpin/platform/call_codec.py
@@ -153,6 +153,10 @@
         ),
         is_leaving=states_leaving(headers),
         pause_s=_decode_pause_s(status, headers),
+        content_type=text_by_name.get('content-type', '')
+        .partition(';')[0]
+        .strip()
+        .lower(),
     )
 
 
