Take a stream that ends inside an event as broken off

Cause: at the end of a stream the start of an unfinished event was passed on, and a response without a length whose connection ended before its body counted as whole. Evidence: nine rows of broken_streams.feature failed before: half events with and without chunks, alone and after an event, and empty responses without a length, for streams and bodies. The rows in which a head or a body with a length is cut passed before: this does not happen here. Change: a stream that ends inside an event is truncated, and is resumed or fails. A response without a length of which no byte of the body came is truncated too.

--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -95,7 +95,7 @@
         if part.is_err():
             return part
         if not part.ok_value:
-            return Ok(splitter.flush())
+            return bodies.check_stream_end(attempt)
         complete = splitter.feed(part.ok_value)
         if splitter.pending_bytes > const.EVENT_MAX_BYTES:
             return Err(Verdict.TOO_LARGE)
@@ -248,7 +248,7 @@
         is_stream = context.resolved.route.kind is RouteKind.STREAM
         if is_stream and responses.is_event_stream(attempt.head):
             return _start_stream(context, attempt)
-        if context.has_sent_events:
+        if context.progress.has_sent_events:
             return Verdict.NOT_A_STREAM
     return _read_body(context, attempt, verdict)
 
--- a/apricotpin/components/gateway/bodies.py
+++ b/apricotpin/components/gateway/bodies.py
@@ -5,7 +5,7 @@
 
 from apricotpin.components.gateway import const
 from apricotpin.components.gateway.service import ReserveResponseMemory
-from apricotpin.components.gateway.state import RequestContext
+from apricotpin.components.gateway.state import Attempt, RequestContext
 from apricotpin.const import SERVICE_GATEWAY
 from apricotpin.helpers.exchange import Exchange, Verdict
 
@@ -16,7 +16,8 @@
     """Return the whole body of a response.
 
     A body without a stated length may never end, so all of it must arrive
-    within one silence limit.
+    within one silence limit. It ends with its connection; if that ends before
+    any byte of the body, nothing shows that the worker has sent it.
     """
     silence_deadline_s = (
         None if exchange.parser.has_length else exchange.silence_deadline_s()
@@ -27,12 +28,25 @@
         if part.is_err():
             return part
         if not part.ok_value:
-            return Ok(bytes(body))
+            return _check_end(exchange, bytes(body))
         body += part.ok_value
         if not _reserve_memory(context, len(body)):
             return Err(Verdict.TOO_LARGE)
 
 
+def check_stream_end(attempt: Attempt) -> Result[bytes, Verdict]:
+    """Return empty bytes if a stream that has ended is whole.
+
+    Its framing may not show its end, so one that ends inside an event, or
+    without framing before any event, was broken off.
+    """
+    has_events = attempt.time_to_first_part_s is not None
+    is_shown = has_events or attempt.exchange.parser.is_complete
+    if attempt.splitter.has_partial_event or not is_shown:
+        return Err(Verdict.TRUNCATED)
+    return Ok(b'')
+
+
 def discard_refusal_body(exchange: Exchange) -> None:
     """Read and discard the body of a refusal to keep its connection."""
     exchange.set_silence_timeout(const.REFUSAL_READ_S)
@@ -41,6 +55,12 @@
     )
 
 
+def _check_end(exchange: Exchange, body: bytes) -> Result[bytes, Verdict]:
+    if body or exchange.parser.is_complete:
+        return Ok(body)
+    return Err(Verdict.TRUNCATED)
+
+
 def _reserve_memory(context: RequestContext, size_bytes: int) -> bool:
     if size_bytes > const.RESPONSE_BODY_MAX_BYTES:
         return False
--- a/apricotpin/components/gateway/decisions.py
+++ b/apricotpin/components/gateway/decisions.py
@@ -35,12 +35,15 @@
     sent_attempts counts the attempts in which a byte of the request was
     sent, unsent_attempts the others. may_have_run becomes true once the
     request was sent to a worker that did not say that it had not run it.
-    tried lists the instances of all attempts. Times are readings of the
+    has_sent_events is true once the caller has received the head of a stream:
+    only the rest of that stream may follow. tried lists the instances of all
+    attempts. Times are readings of the
     monotonic clock in seconds.
     """
 
     __slots__ = (
         'deadline_s',
+        'has_sent_events',
         'last_event_id',
         'may_have_run',
         'retry_reason',
@@ -65,6 +68,7 @@
         self.sent_attempts = 0
         self.unsent_attempts = 0
         self.may_have_run = False
+        self.has_sent_events = False
         self.retry_reason = ''
         self.tried: tuple[str, ...] = ()
 
--- a/apricotpin/components/gateway/events.py
+++ b/apricotpin/components/gateway/events.py
@@ -34,8 +34,7 @@
             self.last_event_id = event_ids[-1].decode('latin-1').strip()
         return complete
 
-    def flush(self) -> bytes:
-        """Return the buffered bytes at the regular end of a stream."""
-        rest = self._pending
-        self._pending = b''
-        return rest
+    @property
+    def has_partial_event(self) -> bool:
+        """Return whether an event has begun whose end is missing."""
+        return bool(self._pending.strip())
--- a/apricotpin/components/gateway/serving.py
+++ b/apricotpin/components/gateway/serving.py
@@ -91,7 +91,7 @@
 
 def relay_events(context: RequestContext, attempt: Attempt) -> Iterator[bytes]:
     """Yield a stream's events; resume at another worker if one fails."""
-    context.has_sent_events = True
+    context.progress.has_sent_events = True
     yield attempt.first_part
     while True:
         events = attempts.read_events(context, attempt)
--- a/apricotpin/components/gateway/state.py
+++ b/apricotpin/components/gateway/state.py
@@ -30,7 +30,6 @@
         'body',
         'codec',
         'current_attempt',
-        'has_sent_events',
         'head',
         'kernel',
         'progress',
@@ -55,9 +54,6 @@
         self.body = body
         self.progress = progress
         self.current_attempt: Attempt | None = None
-        # Whether the caller has received the head of a stream. Only the rest
-        # of that stream may follow.
-        self.has_sent_events = False
         self.ticket = uuid.uuid4().hex
         self.reserved_bytes = 0
         # Called before each attempt sends the request.
--- a/tests/components/gateway/broken_streams.feature
+++ b/tests/components/gateway/broken_streams.feature
@@ -36,6 +36,9 @@
       | closes inside an event | status 503 of type text/plain      | broken, one event |
       | closes inside an event | status 599 of type text/event-stream | broken, one event |
       | closes inside an event | an unsealed stream                 | broken, one event |
+      | closes inside an event | nothing without a length           | broken, one event |
+      | closes inside an event | half an event without a length     | broken, one event |
+      | closes inside an event | half an event in chunks            | broken, one event |
       | closes inside an event | the next event in cut chunks       | broken, both events |
       | closes inside an event | half a head                        | broken, one event |
 
@@ -48,6 +51,11 @@
       | kind   | sent                                | response          |
       | stream | the first event without a length    | one event         |
       | stream | the first event in chunks           | one event         |
+      | stream | half an event without a length      | 502               |
+      | stream | half an event in chunks             | 502               |
+      | stream | an event and a half without a length | broken, one event |
+      | stream | an event and a half in chunks       | broken, one event |
+      | stream | nothing without a length            | 502               |
       | stream | half a head                         | 502               |
       | stream | a head without its empty line       | 502               |
       | stream | status 404 of type application/json | 404, whole body   |
@@ -61,4 +69,5 @@
       | body | half a status line            | 502             |
       | body | half a body                   | 502             |
       | body | a body without a length       | 200, whole body |
+      | body | nothing without a length      | 502             |
       | body | a reset body without a length | 502             |
--- a/tests/steps/gateway_streams_steps.py
+++ b/tests/steps/gateway_streams_steps.py
@@ -60,7 +60,8 @@
 def _response_of(sent):
     if not sent.startswith('status '):
         return _SENT[sent]
-    _, status, _, _, content_type = sent.split()
+    status = sent.split()[1]
+    content_type = sent.split()[-1]
     head = f'HTTP/1.1 {status} Status\r\nContent-Type: {content_type}\r\n'
     length = f'Content-Length: {len(_TEXT)}\r\n\r\n'
     if status in {'204', '304'}:
