Answer the requests that a planned stop would cut off

What callers saw, as reported by other operators: requests that came late in the grace period of a stop were passed on, and cut off without a response at its end, among them some that may not be repeated (LOST). Cause: whether new requests are refused was asked when the head was read. A body that took longer was passed on however late it came. At the end of the grace period all connections were closed, whatever ran on them. Change: a request is registered once its body is read, and refused as not run if the host refuses requests by then. Shortly before the process ends, each request still in progress is interrupted: it responds 503 if it was not sent to a worker, else 504; a stream that has begun breaks off. Requests in progress are tracked by the event that interrupts them, so that a request that could not be registered no longer counts.

--- a/apricotpin/components/gateway/__init__.py
+++ b/apricotpin/components/gateway/__init__.py
@@ -65,6 +65,7 @@
             service.CheckReadiness: gateway.report_readiness,
             service.AwaitDrained: gateway.await_drained,
             service.RefuseNewRequests: gateway.refuse_requests,
+            service.InterruptRequests: gateway.interrupt_requests,
             DesiredStateChanged: gateway.update_limits,
             Stopping: gateway.begin_stop,
         },
@@ -91,18 +92,23 @@
 def _drain(kernel: Kernel, server: WSGIServer, grace_s: float) -> None:
     """Wait until no request is in progress, within the grace period.
 
-    A request that was just read is not counted yet, so all connections have
-    to end as well.
+    A request that was just read is not tracked yet, so all connections have
+    to end as well. Requests that do not end in time respond with a failure.
     """
     deadline_s = time.monotonic() + grace_s - const.STOP_MARGIN_S
+    interrupt_s = deadline_s - const.STOP_RESPOND_S
     drained = kernel.call(
         SERVICE_GATEWAY,
         service.AwaitDrained(),
-        deadline_s - time.monotonic(),
+        max(0, interrupt_s - time.monotonic()),
     )
+    if drained.is_err():
+        kernel.send(SERVICE_GATEWAY, service.InterruptRequests())
     have_ended = server.pool.join(max(0, deadline_s - time.monotonic()))
-    if drained.is_err() or not have_ended:
-        logger.bind(grace_s=grace_s).warning('requests_interrupted')
+    if not have_ended:
+        logger.bind(grace_s=grace_s, connections=len(server.pool)).warning(
+            'connections_closed'
+        )
     # Let the kernel transmit the last responses before the process ends.
     sleep(const.STOP_LINGER_S)
     server.stop(timeout=0)
--- a/apricotpin/components/gateway/application.py
+++ b/apricotpin/components/gateway/application.py
@@ -1,6 +1,7 @@
 """WSGI application that forwards callers' requests to upstreams."""
 
 import contextlib
+import functools
 import random
 import time
 from collections.abc import Callable, Iterator
@@ -8,6 +9,7 @@
 from typing import Any
 
 import gevent
+from gevent.event import Event
 from loguru import logger
 from result import Err, Result
 
@@ -24,6 +26,7 @@
 )
 from apricotpin.components.gateway.service import (
     RegisterRequest,
+    RequestAllowed,
     UnregisterRequest,
 )
 from apricotpin.components.gateway.state import Attempt, RequestContext
@@ -45,6 +48,8 @@
         '_codec',
         '_context',
         '_head',
+        '_interrupted',
+        '_is_registered',
         '_kernel',
         '_outcome',
         '_raw_request',
@@ -65,6 +70,9 @@
         self._watcher: gevent.Greenlet | None = None
         self._outcome: dict[str, Any] = {'outcome': 'caller_left'}
         self._stopping = False
+        self._is_registered = False
+        # Set by the gateway service if the process ends before the request.
+        self._interrupted = Event()
 
     def run(self, start_response: StartResponse) -> Iterator[bytes]:
         """Yield the response body in parts."""
@@ -91,8 +99,7 @@
             self._watcher.kill(block=False)
         if self._context is not None:
             attempts.cancel_attempt(self._context)
-        ticket = '' if self._context is None else self._context.ticket
-        self._kernel.send(SERVICE_GATEWAY, UnregisterRequest(ticket))
+        self._unregister()
         self._kernel.send(
             SERVICE_METRICS,
             Observe('request_duration_s', time.monotonic() - self._started_s),
@@ -107,14 +114,15 @@
     def _get_response_safely(self) -> Result[Attempt, Failure]:
         try:
             return self._get_response()
+        except serving.RequestInterrupted:
+            self._stopping = True
+            return Err(serving.classify_interruption(self._context))
         except Exception as error:
             # A bug must not leave the caller without a response.
             logger.opt(exception=True).error('request_failed')
             return Err(Failure(ErrorKind.INTERNAL, repr(error)))
 
     def _get_response(self) -> Result[Attempt, Failure]:
-        allowed = self._kernel.call(SERVICE_GATEWAY, RegisterRequest())
-        self._stopping = allowed.is_err() or allowed.ok_value.stopping
         head = self._codec.decode_request(
             self._raw_request.method,
             self._raw_request.target,
@@ -126,9 +134,32 @@
         # The body is read even if the request is refused, so that the
         # connection can carry the next request.
         body = self._raw_request.read_body()
-        if allowed.is_err():
-            return allowed
-        return body.and_then(self._resolve).and_then(self._run_attempts)
+        if body.is_err():
+            return body
+        # A body may take long, so that a stop may have begun since its head.
+        registered = self._register()
+        if registered.is_err():
+            return registered
+        return self._resolve(body.ok_value).and_then(self._run_attempts)
+
+    def _register(self) -> Result[RequestAllowed, Failure]:
+        allowed = self._kernel.call(
+            SERVICE_GATEWAY, RegisterRequest(self._interrupted)
+        )
+        self._is_registered = True
+        self._stopping = allowed.is_err() or allowed.ok_value.stopping
+        self._interrupted.rawlink(
+            functools.partial(_interrupt, gevent.getcurrent())
+        )
+        return allowed
+
+    def _unregister(self) -> None:
+        if not self._is_registered:
+            return
+        ticket = '' if self._context is None else self._context.ticket
+        self._kernel.send(
+            SERVICE_GATEWAY, UnregisterRequest(self._interrupted, ticket)
+        )
 
     def _resolve(self, body: bytes) -> Result[RequestContext, Failure]:
         return serving.resolve_request(
@@ -217,6 +248,10 @@
     return application
 
 
+def _interrupt(request: gevent.Greenlet, _interrupted: Event) -> None:
+    request.kill(serving.RequestInterrupted, block=False)
+
+
 def _status_line(status: int) -> str:
     try:
         return f'{status} {HTTPStatus(status).phrase}'
--- a/apricotpin/components/gateway/const.py
+++ b/apricotpin/components/gateway/const.py
@@ -72,5 +72,8 @@
 STOP_ACCEPT_S: Final = 2.6
 # Time for the last responses to be transmitted.
 STOP_LINGER_S: Final = 0.1
+# How long before that the requests in progress are interrupted, so that their
+# callers get a response.
+STOP_RESPOND_S: Final = 0.2
 # Part of the grace period kept for the process itself to end.
 STOP_MARGIN_S: Final = 0.4
--- a/apricotpin/components/gateway/service.py
+++ b/apricotpin/components/gateway/service.py
@@ -14,9 +14,16 @@
 
 
 class RegisterRequest:
-    """Ask whether a new request may start; the reply is RequestAllowed."""
+    """Ask whether a new request may start; the reply is RequestAllowed.
 
-    __slots__ = ()
+    The gateway service sets interrupted if the process ends before the
+    request does.
+    """
+
+    __slots__ = ('interrupted',)
+
+    def __init__(self, interrupted: Event) -> None:
+        self.interrupted = interrupted
 
 
 class RequestAllowed:
@@ -29,14 +36,15 @@
 
 
 class UnregisterRequest:
-    """Report the end of a request, also of one that was refused.
+    """Report the end of a registered request, also of one that was refused.
 
     ticket is empty for a request that was not resolved to a route.
     """
 
-    __slots__ = ('ticket',)
+    __slots__ = ('interrupted', 'ticket')
 
-    def __init__(self, ticket: str = '') -> None:
+    def __init__(self, interrupted: Event, ticket: str = '') -> None:
+        self.interrupted = interrupted
         self.ticket = ticket
 
 
@@ -94,6 +102,12 @@
     __slots__ = ()
 
 
+class InterruptRequests:
+    """Ask the requests in progress to respond, since the process ends."""
+
+    __slots__ = ()
+
+
 class RefuseNewRequests:
     """Refuse new requests, once the load balancer has removed this host."""
 
@@ -122,7 +136,7 @@
     ) -> None:
         self._kernel = kernel
         self._close_listener = close_listener
-        self._in_progress = 0
+        self._in_progress: set[Event] = set()
         self._reserved_bytes: dict[str, int] = {}
         self._idle: set[Event] = set()
         self._limits: CallerLimits | None = None
@@ -130,9 +144,9 @@
         self._refusing = False
         self._drain_reply: Reply | None = None
 
-    def register_request(self, _message: RegisterRequest, reply: Reply) -> None:
-        """Count a request and allow it, unless new requests are refused."""
-        self._in_progress += 1
+    def register_request(self, message: RegisterRequest, reply: Reply) -> None:
+        """Track a request and allow it, unless new requests are refused."""
+        self._in_progress.add(message.interrupted)
         if self._refusing:
             reply.err(ErrorKind.STOPPING, 'this entry host is stopping')
         else:
@@ -157,8 +171,8 @@
     def unregister_request(
         self, message: UnregisterRequest, reply: Reply
     ) -> None:
-        """Stop counting a request and free its reserved memory."""
-        self._in_progress -= 1
+        """Stop tracking a request and free its reserved memory."""
+        self._in_progress.discard(message.interrupted)
         self._reserved_bytes.pop(message.ticket, None)
         self._reply_if_drained()
         reply.ok()
@@ -215,7 +229,7 @@
         self._close_listener()
         logger.bind(
             idle=len(self._idle),
-            in_progress=self._in_progress,
+            in_progress=len(self._in_progress),
         ).info('refusing_calls')
         self._close_idle()
         self._reply_if_drained()
@@ -226,6 +240,17 @@
         self._drain_reply = reply
         self._reply_if_drained()
 
+    def interrupt_requests(
+        self, _message: InterruptRequests, reply: Reply
+    ) -> None:
+        """Ask the requests in progress to respond before the process ends."""
+        logger.bind(in_progress=len(self._in_progress)).warning(
+            'requests_interrupted'
+        )
+        for interrupted in self._in_progress:
+            interrupted.set()
+        reply.ok()
+
     def _close_idle(self) -> None:
         for closing in self._idle:
             closing.set()
@@ -234,5 +259,5 @@
     def _reply_if_drained(self) -> None:
         if self._drain_reply is None or not self._refusing:
             return
-        if self._in_progress <= 0:
+        if not self._in_progress:
             self._drain_reply.ok()
--- a/apricotpin/components/gateway/serving.py
+++ b/apricotpin/components/gateway/serving.py
@@ -28,6 +28,10 @@
     """Report that a response can't be completed after it has started."""
 
 
+class RequestInterrupted(IncompleteResponse):
+    """Report that the process ends before the response is complete."""
+
+
 def resolve_request(
     kernel: Kernel,
     codec: CallCodec,
@@ -125,6 +129,21 @@
     return resumed.ok_value
 
 
+def classify_interruption(context: RequestContext | None) -> Failure:
+    """Return the failure of a request that the end of the process interrupts.
+
+    A request that was sent to a worker may run there.
+    """
+    cause = Failure(ErrorKind.STOPPING, 'this entry host stops now')
+    if context is None:
+        return cause
+    attempt = context.current_attempt
+    is_sent = attempt is not None and attempt.sent
+    if is_sent or context.progress.may_have_run:
+        return Failure(ErrorKind.TIMEOUT, cause.detail)
+    return cause
+
+
 def _classify_failure(context: RequestContext, cause: Failure) -> Failure:
     return decisions.classify_failure(context.progress, cause, time.monotonic())
 
--- a/tests/components/gateway/stop.feature
+++ b/tests/components/gateway/stop.feature
@@ -21,3 +21,22 @@
       | has sent a request whose start is not reported | a whole response |
       | runs a request                                 | a whole response |
       | has sent its second request, not read yet      | a whole response |
+
+  Scenario Outline: in a planned stop, a <kind> request that <state> gets <response>
+    # Requests were taken late in the grace period and passed on, and at its end
+    # they were cut off without a response.
+    Given gateway is stopping and has a <kind> request that <state>
+    When gateway's grace period of 1.2 s ends
+    Then gateway's caller gets <response> before the end
+    And gateway's worker ran it <runs> times
+
+    Examples:
+      | kind           | state                                          | response        | runs |
+      | non_idempotent | has sent half of its body at the refusal       | 503             | 0    |
+      | idempotent     | has sent half of its body at the refusal       | 503             | 0    |
+      | non_idempotent | waits for a worker                             | 503             | 0    |
+      | non_idempotent | runs                                           | 504             | 1    |
+      | idempotent     | runs                                           | 504             | 1    |
+      | stream         | runs                                           | 504             | 1    |
+      | stream         | has received an event                          | a broken stream | 1    |
+      | non_idempotent | ends in time                                   | 200             | 1    |
--- a/tests/steps/gateway_endless_steps.py
+++ b/tests/steps/gateway_endless_steps.py
@@ -5,6 +5,7 @@
 
 from behave import given, then, when
 from gevent import joinall, sleep, socket, spawn
+from gevent.event import Event
 
 from apricotpin.components.gateway.application import RequestHandler
 from apricotpin.components.gateway.callers import RawRequest
@@ -313,7 +314,9 @@
 @when('gateway is asked to reserve {size:d} bytes for {asker}')
 def reserve_more(context, size, asker):
     if asker.endswith('ended'):
-        context.gateway.unregister_request(UnregisterRequest('1'), _Reply())
+        context.gateway.unregister_request(
+            UnregisterRequest(Event(), '1'), _Reply()
+        )
     ticket = '1' if asker == 'the second' else 'another'
     context.reply = _Reply()
     context.gateway.reserve_memory(
