Derive the age of a shared list of upstreams from the drain limit

Cause: a reader vouched for its list for 2 s after its last read of the store. A host whose request waited at that moment got it 0.5 s later still, and one whose reader hung then waited 0.9 s more before it read the store. The sum of the bounds is over the limit. Evidence: two of the new rows failed before: the host read the store 2.51 s and 3.41 s after its reader's last read with a limit of 3 s, where 2.5 s are left for it. With a limit of 2 s the way through a reader can't be in time at all. Change: the age follows from the drain limit less 1.8 s for what comes after, and is looked at again when a wait ends. Where that leaves less than the pause between two reads, each host reads the store.

--- a/apricotpin/components/follower/__init__.py
+++ b/apricotpin/components/follower/__init__.py
@@ -2,6 +2,7 @@
 
 from result import Ok, Result
 
+from apricotpin.components.follower import decisions
 from apricotpin.components.follower.const import RESTORE_CHECK_PERIOD_S
 from apricotpin.components.follower.events import (
     CheckFetchDue,
@@ -31,12 +32,14 @@
 from apricotpin.messages.upstreams import UpstreamUnlisted
 
 
-def setup(kernel: Kernel, _settings: HostSettings) -> Result[None, Failure]:
+def setup(kernel: Kernel, settings: HostSettings) -> Result[None, Failure]:
     """Register the follower, which reads from the start of the process on."""
     service = FollowerService(kernel)
-    peers = PeerExchange(kernel)
-
-    sharing = ListSharing()
+    list_age_max_s = decisions.shared_list_age_max_s(
+        settings.limits.drain_limit_s
+    )
+    peers = PeerExchange(kernel, list_age_max_s)
+    sharing = ListSharing(list_age_max_s)
 
     def handle_read(message: FeedRead, reply: Reply) -> None:
         peers.record_read(message)
--- a/apricotpin/components/follower/const.py
+++ b/apricotpin/components/follower/const.py
@@ -78,9 +78,13 @@
 # get no more requests.
 SHARED_LIST_WAIT_S: Final = 0.5
 SHARED_LIST_TIMEOUT_S: Final = 0.4
-# A reader whose last read of the store is older than this does not vouch for
-# its list.
-SHARED_LIST_AGE_MAX_S: Final = 2.0
+# What is left of the drain limit when a reader stops vouching for its list: a
+# host that waits for it may find it hung, reads the store itself, and has
+# requests under way.
+SHARED_LIST_DELIVERY_S: Final = 1.8
+# The list is shared only if a reader may vouch for it this long, which is the
+# pause between two of its reads and the time of one.
+SHARED_LIST_AGE_NEEDED_S: Final = 1.15
 # A reader that failed is not asked for this time.
 SHARED_LIST_BACKOFF_S: Final = 2.0
 # Removed upstreams that a reader remembers, for hosts that have not heard of
--- a/apricotpin/components/follower/decisions.py
+++ b/apricotpin/components/follower/decisions.py
@@ -1,12 +1,7 @@
 """Decide how records that were read change the state of this process."""
 
+from apricotpin.components.follower import const
 from apricotpin.components.follower.compression import compress
-from apricotpin.components.follower.const import (
-    AGE_TOLERANCE_S,
-    HOSTS_PAUSE_PER_HOST_S,
-    HOSTS_PAUSE_S,
-    RESTORE_TIMEOUT_S,
-)
 from apricotpin.errors import ErrorKind
 from apricotpin.messages.feeds import Feed, FeedPage, FeedRecord, FeedRecords
 from apricotpin.messages.upstreams import UpstreamEntry
@@ -68,11 +63,12 @@
     if entry is None:
         return False
     is_after_outage = (
-        now_s - upstream_list.store_recovered_s < RESTORE_TIMEOUT_S
+        now_s - upstream_list.store_recovered_s < const.RESTORE_TIMEOUT_S
     )
     if is_after_outage and not entry.draining:
         upstream_list.removal_due_s.setdefault(
-            instance_id, upstream_list.store_recovered_s + RESTORE_TIMEOUT_S
+            instance_id,
+            upstream_list.store_recovered_s + const.RESTORE_TIMEOUT_S,
         )
         return False
     upstream_list.upstreams.pop(instance_id)
@@ -176,10 +172,19 @@
     declared_at_s = declared[version]
     return (
         declared_at_s is None
-        or now_s - declared_for_s < declared_at_s - AGE_TOLERANCE_S
+        or now_s - declared_for_s < declared_at_s - const.AGE_TOLERANCE_S
     )
 
 
 def hosts_pause_s(other_hosts: int) -> float:
     """Return the pause between two reads of the entry hosts' records."""
-    return max(HOSTS_PAUSE_S, other_hosts * HOSTS_PAUSE_PER_HOST_S)
+    return max(const.HOSTS_PAUSE_S, other_hosts * const.HOSTS_PAUSE_PER_HOST_S)
+
+
+def shared_list_age_max_s(drain_limit_s: float) -> float:
+    """Return how old a reader's read may be for it to vouch for its list.
+
+    The result is 0 if the list can't be shared within the drain limit.
+    """
+    age_max_s = drain_limit_s - const.SHARED_LIST_DELIVERY_S
+    return age_max_s if age_max_s >= const.SHARED_LIST_AGE_NEEDED_S else 0
--- a/apricotpin/components/follower/list_sharing.py
+++ b/apricotpin/components/follower/list_sharing.py
@@ -43,8 +43,8 @@
 
     __slots__ = ('_shared', '_waiting')
 
-    def __init__(self) -> None:
-        self._shared = shared_list.SharedUpstreams()
+    def __init__(self, age_max_s: float) -> None:
+        self._shared = shared_list.SharedUpstreams(age_max_s)
         self._waiting: list[WaitingHost] = []
 
     def record_read(self, message: FeedRead) -> None:
@@ -76,7 +76,11 @@
             waiting for waiting in self._waiting if waiting.deadline_s > now_s
         ]
         self._waiting.append(WaitingHost(message, reply, now_s + wait_s))
-        gevent.spawn_later(wait_s, reply.ok, changes)
+        gevent.spawn_later(wait_s, self._end_wait, message, reply)
+
+    def _end_wait(self, message: ReadSharedList, reply: Reply) -> None:
+        # The list may have become too old during the wait.
+        reply.ok(self._changes(message))
 
     def _reply_to_waiting(self) -> None:
         for waiting in self._waiting:
--- a/apricotpin/components/follower/peer_exchange.py
+++ b/apricotpin/components/follower/peer_exchange.py
@@ -36,10 +36,10 @@
 
     __slots__ = ('_cache', '_is_check_scheduled', '_kernel', '_source_state')
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, kernel: Kernel, list_age_max_s: float) -> None:
         self._kernel = kernel
         self._cache = decisions.RecordCache()
-        self._source_state = readers.SourceState()
+        self._source_state = readers.SourceState(list_age_max_s)
         self._is_check_scheduled = False
 
     def record_read(self, message: FeedRead) -> None:
--- a/apricotpin/components/follower/readers.py
+++ b/apricotpin/components/follower/readers.py
@@ -26,7 +26,8 @@
     last_fetch_s holds when each peer was last asked for a copy, and
     fetching_from those that have not responded yet. awaited_versions holds the
     version that each peer was asked for, until this host has it. Times are on
-    the monotonic clock.
+    the monotonic clock. list_age_max_s is how old a reader's list of upstreams
+    may be, 0 if lists are not shared.
     """
 
     __slots__ = (
@@ -35,12 +36,14 @@
         'has_read_failed',
         'hosts',
         'last_fetch_s',
+        'list_age_max_s',
         'missing_since_s',
         'own_version',
         'peer_versions',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, list_age_max_s: float = 0) -> None:
+        self.list_age_max_s = list_age_max_s
         self.hosts: tuple[EntryHost, ...] = ()
         self.own_version = 0
         self.missing_since_s: dict[int, float] = {}
@@ -69,7 +72,7 @@
     data centre has few hosts. Each host prefers one of the readers, so that
     their work is distributed.
     """
-    if not state.hosts:
+    if not state.hosts or not state.list_age_max_s:
         return ()
     own_host = state.hosts[0]
     local = {
--- a/apricotpin/components/follower/shared_list.py
+++ b/apricotpin/components/follower/shared_list.py
@@ -32,10 +32,12 @@
 
     entries is in the order of the last changes. Revisions start anew with each
     process, which list_id identifies. From forgotten_revision on, all removals
-    are known. read_s is when the store was last read, on the monotonic clock.
+    are known. read_s is when the store was last read, on the monotonic clock;
+    for age_max_s after that the list may be passed on.
     """
 
     __slots__ = (
+        'age_max_s',
         'entries',
         'forgotten_revision',
         'list_id',
@@ -44,7 +46,8 @@
         'revision',
     )
 
-    def __init__(self) -> None:
+    def __init__(self, age_max_s: float) -> None:
+        self.age_max_s = age_max_s
         self.list_id = uuid.uuid4().hex
         self.revision = 0
         self.entries: dict[str, SharedEntry] = {}
@@ -93,7 +96,7 @@
     The list is whole for a host that has none of it, has it from another
     process, or may have missed a removal that is forgotten here.
     """
-    if now_s - shared.read_s > const.SHARED_LIST_AGE_MAX_S:
+    if now_s - shared.read_s > shared.age_max_s:
         return SharedList('', 0, False, 0, [], ErrorKind.LOG_UNAVAILABLE.value)
     is_complete = (
         list_id != shared.list_id or revision < shared.forgotten_revision
--- a/tests/components/follower/sharing.feature
+++ b/tests/components/follower/sharing.feature
@@ -54,6 +54,31 @@
       | refuses connections           | the store  | 0.3   |
       | sends malformed records       | the store  | 0.3   |
 
+  Scenario Outline: a host whose reader <stops> turns to the store within <limit> s where a worker may get no requests <drain> s after it leaves
+    # A worker may have left just after the reader's last read. The time of the
+    # host's own read, and of requests under way, is left of the limit.
+    Given follower runs with a drain limit of <drain> s on a host whose reader shares its list
+    When follower's reader <stops> and the host goes on reading the list
+    Then follower's host has read the store within <limit> s
+
+    Examples:
+      | stops                                        | drain | limit |
+      | no longer reads the store                    | 3.0   | 2.5   |
+      | no longer reads the store, and hangs after 1 s | 3.0 | 2.5   |
+      | no longer reads the store, and hangs after 1.9 s | 3.0 | 2.5 |
+      | no longer reads the store                    | 4.0   | 3.5   |
+
+  Scenario Outline: with a drain limit of <drain> s, <reading> of 13 hosts of a data centre read the list from the store
+    # Through another host, a change would arrive too late for a short limit.
+    Given follower runs on every one of 13 hosts in each of 3 data centres
+    And follower's hosts have a drain limit of <drain> s
+    Then follower reads the list from the store on <reading> hosts of each data centre
+
+    Examples:
+      | drain | reading |
+      | 2.0   | 13      |
+      | 3.0   | 2       |
+
   Scenario: a change reaches a host that waits for it
     Given follower runs on a host whose reader shares its list
     When follower's host waits for a change and worker b leaves
--- a/tests/steps/follower_copies_steps.py
+++ b/tests/steps/follower_copies_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from types import SimpleNamespace
 
 from behave import given, then, when
 
@@ -38,6 +39,7 @@
 # Longer than the first reads of the store take.
 _STARTUP_S = 0.3
 _SEED = 18
+_DRAIN_LIMIT_S = 2.0
 _LETTERS = 'abcdefghijklmnopqrstuvwxyz0123456789'
 
 
@@ -161,7 +163,8 @@
             'watch',
             {DesiredStateChanged: self._record_version},
         )
-        follower_component.setup(self.kernel, None)
+        limits = SimpleNamespace(drain_limit_s=_DRAIN_LIMIT_S)
+        follower_component.setup(self.kernel, SimpleNamespace(limits=limits))
         self.kernel.publish(EntryHostsChanged(self._hosts()))
         self.kernel.publish(Started())
 
--- a/tests/steps/follower_readers_steps.py
+++ b/tests/steps/follower_readers_steps.py
@@ -10,6 +10,7 @@
 _DATA_CENTRES = ('a', 'b', 'c')
 _OWN_VERSION = 7
 _COUNT = 5
+_LIST_AGE_MAX_S = 1.2
 
 
 def _hosts(count):
@@ -22,7 +23,7 @@
 
 def _make_state(own_host, hosts):
     others = [host for host in hosts if host is not own_host]
-    state = readers.SourceState()
+    state = readers.SourceState(_LIST_AGE_MAX_S)
     state.hosts = (own_host, *others)
     readers.record_own_version(state, _OWN_VERSION)
     return state
--- a/tests/steps/follower_sharing_steps.py
+++ b/tests/steps/follower_sharing_steps.py
@@ -34,6 +34,7 @@
 
 _NOW_S = 100.0
 _STEPS = 30
+_AGE_MAX_S = 1.2
 _KEYS = ('a', 'b', 'c')
 _SILENT_S = 3.0
 
@@ -143,10 +144,14 @@
         ]
     for seed in range(worlds):
         draw = random.Random(seed)
-        shared, actual, copy = shared_list.SharedUpstreams(), {}, _Copy()
+        shared, actual, copy = (
+            shared_list.SharedUpstreams(_AGE_MAX_S),
+            {},
+            _Copy(),
+        )
         for _ in range(_STEPS):
             if 'restarts' in events and not draw.randrange(8):
-                shared = shared_list.SharedUpstreams()
+                shared = shared_list.SharedUpstreams(_AGE_MAX_S)
                 entries = [
                     _entry(key, slots=json.loads(content)['slots'])
                     for key, content in actual.items()
@@ -167,7 +172,7 @@
 
 @when("follower's reader reads the same entries 10 times, {written}")
 def read_again(context, written):
-    context.shared = shared_list.SharedUpstreams()
+    context.shared = shared_list.SharedUpstreams(_AGE_MAX_S)
     for number in range(10):
         changed = {}
         if written == 'with another sequence':
@@ -186,9 +191,11 @@
 class _Reader:
     """Run the part of a reader that shares its list, over the peer API."""
 
-    def __init__(self, state):
+    def __init__(self, state, drain_limit_s=3.0):
         self.kernel = Kernel('entry')
         self.state = state
+        self.drain_limit_s = drain_limit_s
+        self.hangs_from_s = float('inf')
         self.restart()
         self.kernel.register(
             SERVICE_CONFIGURATION,
@@ -208,7 +215,9 @@
 
     def restart(self):
         """Begin a new list, as a new process does."""
-        self.sharing = list_sharing.ListSharing()
+        self.sharing = list_sharing.ListSharing(
+            decisions.shared_list_age_max_s(self.drain_limit_s)
+        )
         if self.state != 'read the store too long ago':
             self.read_store([_entry(key) for key in _KEYS])
 
@@ -225,7 +234,8 @@
         self.kernel.stop()
 
     def _read(self, message, reply):
-        if self.state == 'does not respond':
+        is_hung = time.monotonic() >= self.hangs_from_s
+        if is_hung or self.state == 'does not respond':
             sleep(_SILENT_S)
         if self.state == 'sends malformed records':
             records = [feeds.FeedRecord('a', b'not compressed')]
@@ -234,9 +244,21 @@
             self.sharing.read(message, reply)
 
 
+@given(
+    'follower runs with a drain limit of {drain:g} s on a host whose reader '
+    '{state}'
+)
+def host_with_drain_limit(context, drain, state):
+    _start_host(context, _Reader(state, drain))
+
+
 @given('follower runs on a host whose reader {state}')
 def host_with_reader(context, state):
-    context.reader = _Reader(state)
+    _start_host(context, _Reader(state))
+
+
+def _start_host(context, reader):
+    context.reader = reader
     kernel = Kernel('entry')
 
     def decode(message, reply):
@@ -324,3 +346,41 @@
 )
 def check_hosts_pause(context, pause, others):
     assert decisions.hosts_pause_s(others) == pause
+
+
+@when(
+    "follower's reader no longer reads the store and the host goes on reading "
+    'the list'
+)
+def reader_stops(context):
+    _read_until_store(context, float('inf'))
+
+
+@when(
+    "follower's reader no longer reads the store, and hangs after {after:g} s "
+    'and the host goes on reading the list'
+)
+def reader_hangs(context, after):
+    _read_until_store(context, after)
+
+
+def _read_until_store(context, hangs_after_s):
+    context.reader.read_store([_entry(key) for key in _KEYS])
+    began_s = time.monotonic()
+    context.reader.hangs_from_s = began_s + hangs_after_s
+    _read_list(context)
+    while context.host.source != STORE:
+        _read_list(context)
+        sleep(const.CHANGES_PAUSE_S)
+    context.took_s = time.monotonic() - began_s
+
+
+@then("follower's host has read the store within {limit:g} s")
+def has_read_store(context, limit):
+    assert context.took_s <= limit, context.took_s
+
+
+@given("follower's hosts have a drain limit of {drain:g} s")
+def hosts_with_drain_limit(context, drain):
+    for state in context.states:
+        state.list_age_max_s = decisions.shared_list_age_max_s(drain)
