End a stream with an error event if another response follows it

Cause: the response without a stream was relayed as one, which raised. Evidence: the three new rows failed before with AttributeError. Change: a response that is no stream fails the resumption.

--- a/apricotpin/components/frontend/repeatable.py
+++ b/apricotpin/components/frontend/repeatable.py
@@ -29,7 +29,7 @@
     encode_error,
 )
 from apricotpin.components.frontend.request_context import RequestContext
-from apricotpin.errors import Failure
+from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.metrics import count_refusal
 
 
@@ -123,7 +123,15 @@
     step = decisions.next_step(context.progress, summary, time.monotonic())
     if step.action is Action.FAIL:
         return Err(step.failure)
-    return _run_attempts(context, verdict.value)
+    return _run_attempts(context, verdict.value).and_then(_require_stream)
+
+
+def _require_stream(attempt: Attempt) -> Result[Attempt, Failure]:
+    """Return a failure for a response that can't be the rest of a stream."""
+    if attempt.stream is not None:
+        return Ok(attempt)
+    detail = 'the response to the resumed stream is not a stream'
+    return Err(Failure(ErrorKind.UPSTREAM_FAILED, detail))
 
 
 def _make_error_event(context: RequestContext, failure: Failure) -> bytes:
--- a/tests/components/frontend/streams.feature
+++ b/tests/components/frontend/streams.feature
@@ -53,6 +53,21 @@
       | killed | state leaving  | upstream_failed |
       | killed | state switching | upstream_failed |
 
+  Scenario Outline: a stream that goes on with a <fault> of another worker ends with an error event
+    # The response is no stream, so it can't be the rest of one.
+    Given frontend with upstreams "near, far" of "drafting"
+    And frontend upstream "near" has the fault "killed"
+    And frontend upstream "far" has the fault "<fault>"
+    When frontend streams 6 tokens
+    Then frontend ended the stream after token 1 with upstream_failed and no final chunk
+    And frontend holds nothing of the request
+
+    Examples:
+      | fault      |
+      | status_404 |
+      | status_400 |
+      | status_409 |
+
   Scenario: a stream that fails repeatedly ends after a limited number of attempts
     Given frontend with upstreams "near, far" of "drafting"
     And frontend upstream "near" always has the fault "reset"
