Tell a crash at once within the data centre only

At 390 entry hosts each host that saw a crash would have sent 390 datagrams at once. All hosts of a data centre pass the evidence on in their hellos to others, as the simulation of errors.feature has it, which sends nothing at once. Also gives the quarantine the mailbox size of the services that each request uses.

--- a/apricotpin/components/presence/entry_host.py
+++ b/apricotpin/components/presence/entry_host.py
@@ -148,10 +148,16 @@
     def update_evidence(
         self, message: prompts.CrashEvidence, reply: Reply
     ) -> None:
-        """Replace the evidence that hellos to entry hosts carry."""
+        """Replace the evidence that hellos to entry hosts carry.
+
+        What is urgent is sent to this data centre at once. All of its hosts
+        pass it on in their hellos to others.
+        """
         self._evidence = None if message.is_empty else message
         if message.is_urgent:
-            self._send_entry_hello(*self._known.entry_receivers())
+            self._send_entry_hello(
+                *(one for one in self._known.entry_receivers() if one.is_local)
+            )
         reply.ok()
 
     def handle_datagram(
--- a/apricotpin/components/quarantine/__init__.py
+++ b/apricotpin/components/quarantine/__init__.py
@@ -2,7 +2,10 @@
 
 from result import Ok, Result
 
-from apricotpin.components.quarantine.const import REFRESH_PERIOD_S
+from apricotpin.components.quarantine.const import (
+    MAILBOX_SIZE,
+    REFRESH_PERIOD_S,
+)
 from apricotpin.components.quarantine.service import (
     ConfirmBreaks,
     QuarantineService,
@@ -28,6 +31,7 @@
             ConfirmBreaks: service.confirm_breaks,
             RefreshEvidence: service.refresh,
         },
+        mailbox_size=MAILBOX_SIZE,
     )
     kernel.send_every(SERVICE_QUARANTINE, RefreshEvidence(), REFRESH_PERIOD_S)
     return Ok(None)
--- a/apricotpin/components/quarantine/const.py
+++ b/apricotpin/components/quarantine/const.py
@@ -44,5 +44,7 @@
 SERVED_MAX: Final = 4096
 SUSPECTS_MAX: Final = 256
 EXPLAINED_MAX: Final = 256
+# Each request of a caller asks once at least.
+MAILBOX_SIZE: Final = 4096
 # Longer parts are not tracked; the platform's have 8 characters.
 PART_MAX_CHARS: Final = 64
--- a/apricotpin/messages/prompts.py
+++ b/apricotpin/messages/prompts.py
@@ -74,7 +74,8 @@
     """Carry what a host knows of crashes on prompt parts to other hosts.
 
     served holds parts that others may suspect and that were served since.
-    is_urgent asks to send it now, not with the next hello.
+    is_urgent asks to send it to the hosts of this data centre now, not with the
+    next hello.
     """
 
     __slots__ = ('crashes', 'is_urgent', 'quarantined', 'served')
