Check the workers of broken connections with one timer, and limit the parts

Cause: each break and each check set a timer of its own, so that 100 breaks of a worker whose state was unknown asked for it 701 times in 3 s. Callers choose the parts of their prompts, of which up to 4,096 are kept, of any length. Found by reading the change. Change: one timer at a time, as for fetches of the desired state; 32 parts of a prompt of at most 64 characters are tracked. The reports of prompts are reworded and send nothing for a prompt without parts.

--- a/apricotpin/components/gateway/const.py
+++ b/apricotpin/components/gateway/const.py
@@ -54,6 +54,10 @@
 # Limits the attempts that reached no upstream, which the route's limit on
 # attempts does not count.
 UNSENT_ATTEMPTS_MAX: Final = 4
+# Parts of a prompt beyond this number, and longer ones, are not tracked: a
+# caller chooses them, and they are kept for as long as they may be suspects.
+TRACKED_PARTS_MAX: Final = 32
+TRACKED_PART_MAX_CHARS: Final = 64
 # A worker that has sent events for this long was not crashed by the prompt.
 PROMPT_SERVED_AFTER_S: Final = 0.25
 # No attempt starts with less time than this before the request's deadline.
--- a/apricotpin/components/gateway/prompts.py
+++ b/apricotpin/components/gateway/prompts.py
@@ -1,4 +1,4 @@
-"""Report how workers bear prompts, and hold back those that crash them."""
+"""Report whether workers keep running on prompts, and check prompts first."""
 
 import time
 
@@ -20,7 +20,7 @@
 
 def check_prompt(context: RequestContext) -> Result[None, Failure]:
     """Return a failure if the request must not reach a worker."""
-    parts = context.head.shared_parts
+    parts = _tracked_parts(context)
     if not parts:
         return Ok(None)
     is_retry = bool(context.progress.retry_reason)
@@ -29,31 +29,28 @@
 
 def report_served(context: RequestContext, attempt: Attempt) -> None:
     """Report once that the worker has kept running after its first event."""
-    age_s = _served_for_s(attempt)
-    is_due = age_s is not None and age_s >= const.PROMPT_SERVED_AFTER_S
-    if not is_due or attempt.is_prompt_reported:
+    if attempt.is_prompt_reported:
         return
-    attempt.is_prompt_reported = True
-    parts = context.head.shared_parts
-    if parts:
-        context.kernel.send(SERVICE_QUARANTINE, PromptServed(parts, age_s))
+    age_s = _served_for_s(attempt)
+    if age_s is not None and age_s >= const.PROMPT_SERVED_AFTER_S:
+        _send_served(context, attempt, age_s)
 
 
 def report_end(
     context: RequestContext, attempt: Attempt, verdict: Verdict
 ) -> None:
-    """Report the end of an attempt that shows how its worker bore the prompt.
+    """Report the end of an attempt, if its prompt was not reported before.
 
     A worker may send an event just before it crashes.
     """
     report_served(context, attempt)
-    parts = context.head.shared_parts
-    if not parts or attempt.is_prompt_reported or not attempt.sent:
+    if attempt.is_prompt_reported:
         return
     age_s = _served_for_s(attempt)
+    parts = _tracked_parts(context)
     if verdict is Verdict.ANSWERED and age_s is not None:
-        context.kernel.send(SERVICE_QUARANTINE, PromptServed(parts, age_s))
-    elif verdict in _BREAKS:
+        _send_served(context, attempt, age_s)
+    elif verdict in _BREAKS and attempt.sent and parts:
         upstream = attempt.upstream
         context.kernel.send(
             SERVICE_QUARANTINE,
@@ -61,9 +58,25 @@
         )
 
 
+def _send_served(
+    context: RequestContext, attempt: Attempt, age_s: float
+) -> None:
+    attempt.is_prompt_reported = True
+    parts = _tracked_parts(context)
+    if parts:
+        context.kernel.send(SERVICE_QUARANTINE, PromptServed(parts, age_s))
+
+
 def _served_for_s(attempt: Attempt) -> float | None:
     """Return for how long a stream has been sent, None if it has not begun."""
     if attempt.splitter is None or attempt.time_to_first_part_s is None:
         return None
     begun_s = attempt.sent_s + attempt.time_to_first_part_s
     return time.monotonic() - begun_s
+
+
+def _tracked_parts(context: RequestContext) -> tuple[str, ...]:
+    parts = context.head.shared_parts[: const.TRACKED_PARTS_MAX]
+    return tuple(
+        part for part in parts if len(part) <= const.TRACKED_PART_MAX_CHARS
+    )
--- a/apricotpin/components/quarantine/const.py
+++ b/apricotpin/components/quarantine/const.py
@@ -46,5 +46,5 @@
 EXPLAINED_MAX: Final = 256
 # Each request of a caller asks once at least.
 MAILBOX_SIZE: Final = 4096
-# Longer parts are not tracked; the platform's have 8 characters.
+# Longer parts, which other hosts may send, are not tracked.
 PART_MAX_CHARS: Final = 64
--- a/apricotpin/components/quarantine/service.py
+++ b/apricotpin/components/quarantine/service.py
@@ -57,7 +57,13 @@
     Times are on the boot-time clock, which counts suspensions.
     """
 
-    __slots__ = ('_evidence', '_has_told', '_kernel', '_possible_crashes')
+    __slots__ = (
+        '_evidence',
+        '_has_told',
+        '_is_check_scheduled',
+        '_kernel',
+        '_possible_crashes',
+    )
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
@@ -65,6 +71,7 @@
         # By the number that identifies the start of the worker.
         self._possible_crashes: dict[int, PossibleCrash] = {}
         self._has_told = False
+        self._is_check_scheduled = False
 
     def check_prompt(self, message: CheckPrompt, reply: Reply) -> None:
         """Reply with a failure if a request must not reach a worker."""
@@ -106,14 +113,13 @@
                 clocks.boot_time_s(),
             ),
         )
-        possible.parts.update(
-            part for part in message.parts if len(part) <= const.PART_MAX_CHARS
-        )
+        possible.parts.update(message.parts)
         self._check_later()
         reply.ok()
 
     def confirm_breaks(self, _message: ConfirmBreaks, reply: Reply) -> None:
         """Record the crashes among the breaks, and forget the other breaks."""
+        self._is_check_scheduled = False
         now_s = clocks.boot_time_s()
         for worker, possible in list(self._possible_crashes.items()):
             age_s = now_s - possible.broken_s
@@ -211,6 +217,9 @@
         return pending_s
 
     def _check_later(self) -> None:
+        if self._is_check_scheduled:
+            return
+        self._is_check_scheduled = True
         gevent.spawn_later(
             const.CONFIRM_DELAY_S,
             self._kernel.send,
