Count the age of a shared list from the start of the read

Cause: a reader vouched for its list from the end of its read of the store, though the entries may be as old as the start; over a full link a read takes over a second. Evidence: the new row, a read of 1.5 s, failed before. Result: sharing.feature passes.

--- a/apricotpin/components/follower/list_sharing.py
+++ b/apricotpin/components/follower/list_sharing.py
@@ -53,8 +53,10 @@
         if not is_own_read or message.page.is_err():
             return
         page = message.page.ok_value
+        # The entries may be as old as the start of the read.
+        read_s = time.monotonic() - message.took_s
         if shared_list.record_read(
-            self._shared, page.entries, page.next_offset, time.monotonic()
+            self._shared, page.entries, page.next_offset, read_s
         ):
             self._reply_to_waiting()
 
--- a/tests/components/follower/sharing.feature
+++ b/tests/components/follower/sharing.feature
@@ -50,6 +50,8 @@
       | shares its list               | its reader | 0.8   |
       | restarts between the reads    | its reader | 0.8   |
       | read the store too long ago   | the store  | 0.3   |
+      # What it read is as old as the start of the read.
+      | took 1.5 s to read the store  | the store  | 0.3   |
       | does not respond              | the store  | 1.2   |
       | refuses connections           | the store  | 0.3   |
       | sends malformed records       | the store  | 0.3   |
--- a/tests/steps/follower_sharing_steps.py
+++ b/tests/steps/follower_sharing_steps.py
@@ -224,8 +224,9 @@
     def read_store(self, entries):
         """Record entries that the reader has read from the store."""
         page = Ok(feeds.FeedPage(entries, 7))
+        took_s = 1.5 if self.state.startswith('took 1.5 s') else 0
         self.sharing.record_read(
-            FeedRead(feeds.Feed.UPSTREAMS, page, False, STORE, 0)
+            FeedRead(feeds.Feed.UPSTREAMS, page, False, STORE, took_s)
         )
 
     def close(self):
