Share what a reader heard of upstreams through another host

Cause: a reader that had been cut off read the store through another host for a moment. That page advanced its offset and was not recorded in the list that it shares; its next read of the store returned only later changes, and it vouched for a list in which the worker was ready. Hosts that turned back to that reader took the worker for ready again. The new row 'through another host' failed before. Change: the shared list records the pages that were read through another host too. It is vouched for by reads of the store only, as before.

--- a/apricotpin/components/follower/events.py
+++ b/apricotpin/components/follower/events.py
@@ -14,10 +14,18 @@
 class FeedRead:
     """Carry the outcome of one read of a feed.
 
-    source is STORE or the address of the entry host that was asked.
+    source is STORE or the address of the entry host that was asked. is_shared
+    is true for a page of the list that another entry host shares.
     """
 
-    __slots__ = ('feed', 'is_snapshot', 'page', 'source', 'took_s')
+    __slots__ = (
+        'feed',
+        'is_shared',
+        'is_snapshot',
+        'page',
+        'source',
+        'took_s',
+    )
 
     def __init__(
         self,
@@ -26,7 +34,9 @@
         is_snapshot: bool,
         source: str,
         took_s: float,
+        is_shared: bool = False,
     ) -> None:
+        self.is_shared = is_shared
         self.feed = feed
         self.page = page
         self.is_snapshot = is_snapshot
--- a/apricotpin/components/follower/feed_reads.py
+++ b/apricotpin/components/follower/feed_reads.py
@@ -71,7 +71,12 @@
         kernel.send(
             SERVICE_CONFIGURATION,
             FeedRead(
-                feed, page, reader.is_snapshot, reader.source, reader.took_s
+                feed,
+                page,
+                reader.is_snapshot,
+                reader.source,
+                reader.took_s,
+                reader.is_shared,
             ),
         )
         if page.is_ok():
--- a/apricotpin/components/follower/list_sharing.py
+++ b/apricotpin/components/follower/list_sharing.py
@@ -48,15 +48,20 @@
         self._waiting: list[WaitingHost] = []
 
     def record_read(self, message: FeedRead) -> None:
-        """Record what this host itself read from the store."""
-        is_own_read = message.feed is Feed.UPSTREAMS and message.source == STORE
-        if not is_own_read or message.page.is_err():
+        """Record what this host read from the store, or through another host.
+
+        Both advance the offset, so that the next read does not return the
+        entries again. The list is vouched for by reads of the store only.
+        """
+        is_read = message.feed is Feed.UPSTREAMS and not message.is_shared
+        if not is_read or message.page.is_err():
             return
         page = message.page.ok_value
-        # The entries may be as old as the start of the read.
-        read_s = time.monotonic() - message.took_s
+        if message.source == STORE:
+            # The entries may be as old as the start of the read.
+            self._shared.read_s = time.monotonic() - message.took_s
         if shared_list.record_read(
-            self._shared, page.entries, page.next_offset, read_s
+            self._shared, page.entries, page.next_offset
         ):
             self._reply_to_waiting()
 
--- a/apricotpin/components/follower/shared_list.py
+++ b/apricotpin/components/follower/shared_list.py
@@ -60,9 +60,8 @@
     shared: SharedUpstreams,
     entries: Iterable[FeedEntry],
     offset: int,
-    now_s: float,
 ) -> bool:
-    """Record entries read from the store; return whether one has changed.
+    """Record entries that were read; return whether one has changed.
 
     Workers write their entries again and again without a change.
     """
@@ -74,7 +73,6 @@
         if known is None or not _is_equal(known.entry, read.decoded):
             _record_change(shared, read.key, read.decoded, read.content)
     shared.offset = offset
-    shared.read_s = now_s
     return shared.revision != before
 
 
--- a/tests/components/follower/sharing.feature
+++ b/tests/components/follower/sharing.feature
@@ -81,6 +81,17 @@
       | 2.0   | 13      |
       | 3.0   | 2       |
 
+  Scenario Outline: a worker that leaves, as a reader hears <way>, leaves in the list that it shares
+    # The next read of the store returns only what has changed since.
+    Given follower runs on a host whose reader shares its list
+    When follower's reader hears <way> that worker b leaves, and reads the store with no changes
+    Then follower's host hears from its reader that worker b leaves
+
+    Examples:
+      | way                  |
+      | from the store       |
+      | through another host |
+
   Scenario: a change reaches a host that waits for it
     Given follower runs on a host whose reader shares its list
     When follower's host waits for a change and worker b leaves
--- a/tests/steps/follower_sharing_steps.py
+++ b/tests/steps/follower_sharing_steps.py
@@ -37,6 +37,7 @@
 _AGE_MAX_S = 1.2
 _KEYS = ('a', 'b', 'c')
 _SILENT_S = 3.0
+_OTHER_HOST = '10.0.0.9:7700'
 
 
 def _content(state='ready', sequence=1, slots=4):
@@ -114,6 +115,12 @@
         self.revision = changes.revision
 
 
+def _record(shared, entries):
+    """Record entries that are read from the store now."""
+    shared.read_s = _NOW_S
+    shared_list.record_read(shared, entries, 1)
+
+
 def _change(draw, shared, actual, events):
     key = str(draw.randrange(12))
     if 'removals' in events and draw.randrange(2):
@@ -127,7 +134,7 @@
     )
     if not is_same:
         actual[key] = entry.content
-    shared_list.record_read(shared, [entry], 1, _NOW_S)
+    _record(shared, [entry])
 
 
 @when(
@@ -157,7 +164,7 @@
                     for key, content in actual.items()
                 ]
                 actual = {one.key: one.content for one in entries}
-                shared_list.record_read(shared, entries, 1, _NOW_S)
+                _record(shared, entries)
             _change(draw, shared, actual, events)
             if draw.randrange(2):
                 copy.update(shared)
@@ -180,7 +187,7 @@
         entries = [_entry(key, **changed) for key in _KEYS]
         if number > 5 and written == 'with one worker leaving':
             entries[1] = _entry('b', state='draining')
-        shared_list.record_read(context.shared, entries, 1, _NOW_S)
+        _record(context.shared, entries)
 
 
 @then("follower's reader has recorded {changes:d} changes")
@@ -385,3 +392,22 @@
 def hosts_with_drain_limit(context, drain):
     for state in context.states:
         state.list_age_max_s = decisions.shared_list_age_max_s(drain)
+
+
+@when(
+    "follower's reader hears {way} that worker b leaves, and reads the store "
+    'with no changes'
+)
+def reader_hears(context, way):
+    source = STORE if way == 'from the store' else _OTHER_HOST
+    page = Ok(feeds.FeedPage([_entry('b', state='draining')], 8))
+    sharing = context.reader.sharing
+    sharing.record_read(FeedRead(feeds.Feed.UPSTREAMS, page, False, source, 0))
+    context.reader.read_store([])
+
+
+@then("follower's host hears from its reader that worker b leaves")
+def host_hears(context):
+    _read_list(context)
+    assert context.host.source == context.reader.address
+    assert context.listed['b'].draining
