Name a limit after what it does, and reflow two doc comments

RETRY_CRASHES_MAX is the number of crashes from which a request is not retried; it is NO_RETRY_CRASHES_MIN now. The comment on CONTROLS_MIN said less than the rule does. No behaviour changes.

--- a/apricotpin/components/gateway/decisions.py
+++ b/apricotpin/components/gateway/decisions.py
@@ -37,8 +37,7 @@
     request was sent to a worker that did not say that it had not run it.
     has_sent_events is true once the caller has received the head of a stream:
     only the rest of that stream may follow. tried lists the instances of all
-    attempts. Times are readings of the
-    monotonic clock in seconds.
+    attempts. Times are readings of the monotonic clock in seconds.
     """
 
     __slots__ = (
--- a/apricotpin/components/quarantine/const.py
+++ b/apricotpin/components/quarantine/const.py
@@ -8,12 +8,13 @@
 # From this number on, parts that the crashes do not tell apart are all
 # quarantined.
 AMBIGUOUS_CRASHES_MIN: Final = 4
-# Prompts without the part that have to be served since the first of these
-# crashes. While nothing is served, the workers have failed for another reason.
+# Prompts without the part that have to be served: since the first of these
+# crashes if the part was served before, else at any time. While nothing is
+# served, the workers have failed for another reason.
 CONTROLS_MIN: Final = 3
 # A request is not retried if a part that was never served is in this many
 # crashes, the break of its own attempt included.
-RETRY_CRASHES_MAX: Final = 2
+NO_RETRY_CRASHES_MIN: Final = 2
 # Crashes within this time of each other count as one: workers that fail
 # together have another cause.
 CRASH_SEPARATION_S: Final = 0.05
--- a/apricotpin/components/quarantine/evidence.py
+++ b/apricotpin/components/quarantine/evidence.py
@@ -19,9 +19,8 @@
     explained holds the crashes that a quarantined part has caused; they are no
     evidence against other parts. contested_s holds when a crash with a part
     became known that was served at some time, which other hosts may not know.
-    controls_s holds when the
-    last prompts of any kind began to be served. Times are on the boot-time
-    clock.
+    controls_s holds when the last prompts of any kind began to be served. Times
+    are on the boot-time clock.
     """
 
     __slots__ = (
--- a/apricotpin/components/quarantine/suspects.py
+++ b/apricotpin/components/quarantine/suspects.py
@@ -53,7 +53,7 @@
     for part in parts:
         crashes = count_crashes(evidence, part, tuple(pending_s.get(part, ())))
         is_served = part in evidence.served_s
-        if crashes >= const.RETRY_CRASHES_MAX and not is_served:
+        if crashes >= const.NO_RETRY_CRASHES_MIN and not is_served:
             return part
     return ''
 
