Review case 5: an entry with a key that can't be read takes down a service

Cause: its id cannot be encoded into a request, which ends with 500 after the worker was chosen; the entry keeps the lowest cost.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -21,6 +21,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -73,7 +74,7 @@
     """Write what was sent, answered and run, with seconds since the start."""
 
     def __init__(self, path):
-        self._file = path.open('w')
+        self._file = path.open('w', errors='backslashreplace')
         self._started_s = time.monotonic()
 
     def now_s(self):
@@ -234,19 +235,24 @@
             waiting.cancel()
         parts = [struct.pack('>QQ', len(records), 0)]
         for key, content in records[offset:]:
-            name = key.encode()
+            name = key.encode('utf-8', 'surrogateescape')
             one = bytes([len(name)]) + name + content
             parts.append(struct.pack('>I', len(one)) + one)
         return await answer(writer, 200, b''.join(parts))
 
 
+def _readable(key):
+    """Return a key as JSON can hold it."""
+    return key.encode('utf-8', 'surrogateescape').decode('utf-8', 'replace')
+
+
 def _newest(records):
     newest = {}
     for offset, (key, content) in enumerate(records):
         newest.pop(key, None)
         if content:
             newest[key] = {
-                'key': key,
+                'key': _readable(key),
                 'value': base64.b64encode(content).decode(),
                 'offset': offset,
             }
@@ -787,8 +793,9 @@
             return fleet, await asyncio.wait_for(
                 play(fleet, has_trouble), limit_s
             )
-        except (CannotRun, TimeoutError, OSError) as error:
-            fleet.record.add(f'could not run: {error!r}')
+        except Exception:
+            # An error of the case itself must not count as a broken rule.
+            fleet.record.add(f'could not run: {traceback.format_exc()}')
             return fleet, None
         finally:
             await fleet.close()
