--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,166 +1,125 @@
-"""Channels to the store go silent; a worker drains after all is calm again."""
+"""A spoiled manifest after the final fault: agents never load the version."""
 
 import asyncio
+import json
 import pathlib
+import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / 'common'))
 
 from standins import (  # noqa: E402
-    BOUNDS, HOST, CannotRun, Consumer, route, run_case,
+    BOUNDS, HOST, MODEL, CannotRun, Consumer, route, run_case,
 )
 
-# The worker drains this long after the channels went silent: contact_ms is
-# over, so that the store is stable and the machines are in touch again.
-DRAINS_AFTER_S = 3.1
-# The worker ends this long after drain_ms ("a little longer").
-LINGERS_S = 0.35
-SLACK_S = 0.1
-DEADLINE_MS = 627
-CONSUMERS = 8
+DOWN_S = 1.0
+# How long after the return of the machines requests are still sent.
+WATCHED_S = 26.0
+REQUESTS_PER_S = 4
 
 
-class SilencingProxy:
-    """Forward channels to the store until they go silent.
+def spoil(handle, fleet, state):
+    """Return a handler that spoils one byte of the next manifest."""
 
-    silence() makes the open channels silent for good, without a reset. New
-    channels work.
-    """
+    async def handle_spoiled(head, reader, writer):
+        if not head.path.startswith('/manifest/'):
+            return await handle(head, reader, writer)
+        fields = fleet.origin.manifest(int(head.query['version']))
+        if state['spoil_next']:
+            state['spoil_next'] -= 1
+            digest = fields['digests'][5]
+            fields['digests'][5] = ('0' if digest[0] != '0' else '1') + digest[1:]
+            fleet.record.add(
+                'origin spoils one byte of the manifest that it sends: the '
+                'first digit of the digest of piece 5'
+            )
+        else:
+            fleet.record.add(
+                f'origin sends the manifest of version {fields["version"]}'
+            )
+        return await fleet.origin.send(writer, json.dumps(fields).encode())
 
-    def __init__(self, ip, port, target):
-        self.ip, self.port, self._target = ip, port, target
-        self.address = f'{ip}:{port}'
-        self._server = None
-        self._channels = []
+    return handle_spoiled
 
-    async def start(self):
-        self._server = await asyncio.start_server(
-            self._serve, self.ip, self.port
-        )
-
-    async def stop(self):
-        self._server.close()
-        for channel in self._channels:
-            for writer in channel['writers']:
-                writer.transport.abort()
-
-    def silence(self):
-        for channel in self._channels:
-            channel['is_silent'] = True
-        return len(self._channels)
 
-    async def _serve(self, reader, writer):
-        to_store = await asyncio.open_connection(
-            self._target.ip, self._target.port
-        )
-        channel = {'is_silent': False, 'writers': (writer, to_store[1])}
-        self._channels.append(channel)
-        await asyncio.gather(
-            _forward(reader, to_store[1], channel),
-            _forward(to_store[0], writer, channel),
-        )
+def start_all(fleet):
+    fleet.start_process('side-1', 'side', 1)
+    fleet.start_process('side-2', 'side', 2)
+    return fleet.start_process('edge-1', 'edge', 1)
 
 
-async def _forward(reader, writer, channel):
-    try:
-        while True:
-            part = await reader.read(65536)
-            if channel['is_silent']:
-                continue_silent = bool(part)
-                if not continue_silent:
-                    return
-                continue
-            if not part:
-                writer.close()
-                return
-            writer.write(part)
-            await writer.drain()
-    except OSError:
-        writer.close()
-
-
-async def send_orders(fleet, ip, number, sent_s, until):
-    consumer = Consumer(fleet, ip, HOST)
-    answers = []
+async def send_until(fleet, ip, until_s, answers):
+    consumers = [Consumer(fleet, ip, HOST) for _ in range(REQUESTS_PER_S)]
     turn = 0
-    while not until.is_set():
-        request_id = f'order-{number}-{turn}'
-        sent_s[request_id] = fleet.record.now_s()
-        received = await consumer.request(
-            '/order/x', request_id, DEADLINE_MS, 'POST', b'one timber order'
+    while fleet.record.now_s() < until_s:
+        started_s = fleet.record.now_s()
+        received = await asyncio.gather(
+            *(
+                one.request(
+                    '/plan/a', f'plan-{turn}-{place}-{started_s:.1f}', 6000,
+                    'POST', b'{}',
+                )
+                for place, one in enumerate(consumers)
+            )
         )
-        answers.append((request_id, received.status))
+        answers.extend((started_s, one.status) for one in received)
         turn += 1
-        await asyncio.sleep(0.01)
-    return answers
+        await asyncio.sleep(max(0, started_s + 1 - fleet.record.now_s()))
 
 
 async def play(fleet, has_trouble):
-    proxy = SilencingProxy(fleet.ip(0, 3), fleet.port, fleet.store)
-    await fleet.start_server(proxy)
+    state = {'spoil_next': 0}
+    fleet.origin.handle = spoil(fleet.origin.handle, fleet, state)
     workers = [
-        await fleet.add_worker(number, service='wuno96b', slots=6)
-        for number in (1, 2, 3)
+        await fleet.add_worker(number, service='huvo11a', is_model=True)
+        for number in (1, 2)
     ]
-    leaving = workers[0]
     fleet.put_config(
-        [
-            route(
-                'order', 'non_idempotent', 'wuno96b', max_attempts=1,
-                timeout_ms=600, goal_ms=152,
-            ),
-        ],
-        [{'name': 'wuno96b', 'health_path': '/healthz', 'max_connections': 100}],
+        [route('plan', 'streaming', 'huvo11a')],
+        [fleet.model_service(), fleet.origin_service()],
+    )
+    ip = start_all(fleet)
+    await fleet.wait_ready(ip)
+    await asyncio.sleep(4)
+    before = []
+    await send_until(fleet, ip, fleet.record.now_s() + 4, before)
+    if sum(status == 200 for _, status in before) < len(before) / 4:
+        raise CannotRun('less than a quarter is served before the fault')
+    fleet.store.put(
+        'keyed.op', f'version/{MODEL}', {'model': MODEL, 'version': 2}
     )
-    hosts = [
-        fleet.start_process(
-            f'edge-{number}', 'edge', number,
-            platform={'address': proxy.address, 'form': 'log'},
-        )
-        for number in (1, 2)
-    ]
-    for ip in hosts:
-        await fleet.wait_ready(ip)
-    await asyncio.sleep(3)
-    sent_s, until = {}, asyncio.Event()
-    consumers = [
-        asyncio.create_task(
-            send_orders(fleet, hosts[number % 2], number, sent_s, until)
-        )
-        for number in range(CONSUMERS)
-    ]
-    await asyncio.sleep(1)
     if has_trouble:
-        count = proxy.silence()
-        fleet.record.add(f'{count} channels to the store go silent')
-    await asyncio.sleep(DRAINS_AFTER_S)
-    leaving.state = 'draining'
-    drained_s = fleet.list_worker(leaving)
-    bound_s = drained_s + BOUNDS['drain_ms'] / 1000
-    await asyncio.sleep(BOUNDS['drain_ms'] / 1000 + LINGERS_S)
-    fleet.record.add(f'worker={leaving.name} ends')
-    await leaving.stop()
-    fleet.store.put('keyed.servers', leaving.name, None)
-    await asyncio.sleep(1)
-    until.set()
-    answers = [one for found in await asyncio.gather(*consumers) for one in found]
-    if not any(status == 200 for _, status in answers):
-        raise CannotRun('no order was served')
+        # The final fault strikes right after the acknowledgement.
+        for name in list(fleet.processes):
+            fleet.signal(name, signal.SIGKILL)
+            fleet.processes[name].wait()
+        state['spoil_next'] = 1
+        await asyncio.sleep(DOWN_S)
+        start_all(fleet)
+        await fleet.wait_ready(ip)
+    back_s = fleet.record.now_s()
+    fleet.record.add('the machines are back')
+    answers = []
+    await send_until(fleet, ip, back_s + WATCHED_S, answers)
     late = [
-        (round(run_s - drained_s, 2), request_id)
-        for run_s, request_id in leaving.runs
-        if sent_s.get(request_id, 0) > bound_s + SLACK_S
+        status
+        for sent_s, status in answers
+        if sent_s > back_s + BOUNDS['recover_s']
     ]
-    unanswered = [name for name, status in answers if status in {0, 502, 504}]
-    fleet.record.add(f'orders with 502, 504 or a closed channel: {unanswered}')
-    fleet.record.add(f'orders that reached the worker late: {late}')
-    if not late:
+    served = sum(status == 200 for status in late)
+    fleet.record.add(
+        f'before the fault {sum(s == 200 for _, s in before)} of '
+        f'{len(before)} requests were served; of those sent later than '
+        f'{BOUNDS["recover_s"]} s after the machines were back {served} of '
+        f'{len(late)}; workers have versions '
+        f'{[worker.version for worker in workers]}'
+    )
+    if served >= len(late) / 4:
         return []
     return [
-        f'DRAIN: {len(late)} orders reach worker {leaving.name} later than '
-        f'{BOUNDS["drain_ms"]} ms after the store accepted that it drains, the '
-        f'last one after {late[-1][0]} s'
+        f'RECOVER: {served} of {len(late)} requests are served later than '
+        f'{BOUNDS["recover_s"]} s after the machines are back'
     ]
 
 
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -654,7 +654,12 @@
 
 
 class Answer:
-    """Hold what a consumer got; status 0 stands for a closed channel."""
+    """Hold what a consumer got; status 0 stands for no answer.
+
+    is_closed: the channel ended before the answer, or within it.
+    """
+
+    is_closed = False
 
     def __init__(self, status=0, headers=None, body=b'', is_complete=False):
         self.status, self.headers = status, headers or {}
@@ -692,13 +697,17 @@
             received = await asyncio.wait_for(
                 self._exchange(encoded), deadline_ms / 1000
             )
-        except (TimeoutError, OSError):
+        except TimeoutError:
+            received = Answer()
+        except OSError:
             received = Answer()
+            received.is_closed = True
         if not received.is_complete:
             self.close()
         record.add(
             f'consumer id={request_id} gets status={received.status} '
-            f'complete={received.is_complete} body={len(received.body)} bytes'
+            f'complete={received.is_complete} closed={received.is_closed} '
+            f'body={len(received.body)} bytes'
         )
         return received
 
@@ -717,13 +726,15 @@
         await writer.drain()
         head = await read_head(reader)
         if head is None:
-            return Answer()
+            received = Answer()
+            received.is_closed = True
+            return received
         received = Answer(int(head.start[1]), head.headers)
         try:
             received.body = await self._read_body(head, reader)
             received.is_complete = True
         except (asyncio.IncompleteReadError, OSError):
-            pass
+            received.is_closed = True
         if head.headers.get('connection', '').lower() == 'close':
             self.close()
         return received
@@ -784,26 +795,33 @@
     play(fleet, has_trouble) returns the breaks of the rule that it saw.
     """
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
-
-    async def main():
-        fleet = Fleet(folder)
-        fleet.record.add(f'trouble={"on" if has_trouble else "off"}')
-        try:
-            await fleet.start()
-            return fleet, await asyncio.wait_for(
-                play(fleet, has_trouble), limit_s
-            )
-        except Exception:
-            # An error of the case itself must not count as a broken rule.
-            fleet.record.add(f'could not run: {traceback.format_exc()}')
-            return fleet, None
-        finally:
-            await fleet.close()
-
-    fleet, breaks = asyncio.run(main())
-    if breaks is None:
+    try:
+        fleet, breaks = asyncio.run(_play(folder, play, has_trouble, limit_s))
+    except BaseException:
+        # An error of the case itself, or a signal that ends it, must not count
+        # as a broken rule.
+        traceback.print_exc()
         sys.exit(2)
-    for found in breaks:
+    for found in breaks or ():
         fleet.record.add(f'BROKEN {found}')
+    if breaks is None:
+        sys.exit(2)
     fleet.record.add('the rule was broken' if breaks else 'the rule held')
     sys.exit(1 if breaks else 0)
+
+
+async def _play(folder, play, has_trouble, limit_s):
+    """Return the fleet and the breaks, None if the case could not run."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, asyncio.current_task().cancel)
+    fleet = Fleet(folder)
+    fleet.record.add(f'trouble={"on" if has_trouble else "off"}')
+    try:
+        await fleet.start()
+        return fleet, await asyncio.wait_for(play(fleet, has_trouble), limit_s)
+    except Exception:
+        fleet.record.add(f'could not run: {traceback.format_exc()}')
+        return fleet, None
+    finally:
+        await fleet.close()
