Give a load order only within 2.8 s of the start of its check

Cause: a check of staged pieces that took longer than 2 s was recorded as if it had begun 1.7 s before its end, so that a worker on a slow host was still loaded. A host that freezes within a check looks the same, and its pieces had been read up to any time ago. Two further ways to the same fault: an order without effect was given again after 6 s without a check, and an order that waited for a connection, or whose host froze after the decision, was sent whenever it could be. Ruled out: the suspension of the host, which the boot-time clock shows and which discarded the check already.

Change: the age of a check counts from its start, for whatever reason it took long. The order carries the time by which it is sent, on the clock that also counts suspensions, and the client compares it when the connection is open, right before the first byte. Copies of pieces end in the same way once their caller has given up. Where two checks in a row took over 2.8 s, the layers are checked and loaded in parts that take about a second to check, so that a slow worker is loaded all the same; the ranges of layers in a worker's report are joined. What remains is a freeze between that comparison and the system call, or of the worker itself before it accepts the order: an order can't state its age.

--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -67,8 +67,17 @@
 # if the last check started longer ago than this. A worker may load a piece
 # that became corrupt less than 3 s before.
 CHECK_AGE_MAX_S: Final = 2.0
-# A load order follows the end of a check within this time.
+# A check that took longer than that permits a load order for this time after
+# its end, unless it started longer ago than ORDER_AGE_MAX_S.
 ORDER_AFTER_CHECK_MAX_S: Final = 0.3
+# No load order is sent if its check started longer ago than this. The rest of
+# the 3 s is left for the order to reach the worker.
+ORDER_AGE_MAX_S: Final = 2.8
+# After this many checks in a row that took longer than ORDER_AGE_MAX_S, the
+# layers are loaded in parts. One alone may be due to a freeze of the host.
+OVERLONG_CHECKS_MAX: Final = 2
+# How long the check of such a part should take.
+PART_CHECK_TIME_S: Final = 1.0
 # Smaller differences are not suspensions: they come from reading two clocks
 # one after the other.
 SUSPENSION_MIN_S: Final = 0.1
--- a/apricotpin/components/installer/decisions.py
+++ b/apricotpin/components/installer/decisions.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from apricotpin.components.installer import const
+from apricotpin.components.installer import checks, const
 from apricotpin.components.installer.state import Install, WorkerState
 from apricotpin.components.installer.switching import (
     is_drained,
@@ -15,7 +15,7 @@
 from apricotpin.helpers.hashing import matches_sha256
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages.fleet import LoadReport
-from apricotpin.messages.pieces import WorkerReport
+from apricotpin.messages.pieces import LayerRange, WorkerReport
 
 
 class LoadStep(enum.Enum):
@@ -39,14 +39,16 @@
     previous = worker.report
     worker.report = report
     worker.missed_reports = 0
-    worker.version = 0
+    worker.version = max((part.version for part in report.loaded), default=0)
     worker.layers_start = 0
     worker.layers_end = 0
-    for part in report.loaded:
-        if part.version >= worker.version:
-            worker.version = part.version
+    newest = [part for part in report.loaded if part.version == worker.version]
+    for part in sorted(newest, key=lambda one: one.start):
+        if part.start > worker.layers_end or not worker.layers_end:
             worker.layers_start = part.start
-            worker.layers_end = layers if part.end < 0 else part.end
+        worker.layers_end = max(
+            worker.layers_end, layers if part.end < 0 else part.end
+        )
     return previous is not None and previous.started_ms != report.started_ms
 
 
@@ -141,16 +143,13 @@
     The check runs before the worker's turn to switch, so that the worker is
     unavailable for less time.
     """
-    check_started_s = install.pieces.check_started_s
-    if check_started_s is None:
+    if install.pieces.check.started_s is None:
         return LoadStep.CHECK
     if not may_switch(install, worker, now_s):
         return LoadStep.WAIT
     if not is_drained(install, worker, now_s):
         return LoadStep.WAIT
-    if now_s - check_started_s > const.CHECK_AGE_MAX_S:
-        return LoadStep.CHECK
-    return LoadStep.START
+    return _checked_start(install, now_s)
 
 
 def _step_after_order(
@@ -159,10 +158,16 @@
     busy = worker.report.has_order_in_progress
     overdue = now_s - install.load_ordered_s > const.ORDER_EFFECT_TIMEOUT_S
     if overdue and not busy:
-        return LoadStep.START
+        return _checked_start(install, now_s)
     return LoadStep.WAIT
 
 
+def _checked_start(install: Install, now_s: float) -> LoadStep:
+    if checks.permits_order(install.pieces.check, now_s):
+        return LoadStep.START
+    return LoadStep.CHECK
+
+
 def record_scan(
     install: Install,
     found: dict[int, bytes],
@@ -180,22 +185,23 @@
 def record_step(
     install: Install,
     step: LoadStep,
-    staged: dict[int, bytes],
+    part: LayerRange,
     started_s: float,
     now_s: float,
 ) -> None:
-    """Record a load step that succeeded."""
-    if step is LoadStep.STAGE:
-        install.pieces.staged.update(staged)
-    elif step is LoadStep.CHECK:
-        # A check that took longer than CHECK_AGE_MAX_S still allows the load
-        # order that follows it at once.
-        oldest_s = now_s - const.CHECK_AGE_MAX_S + const.ORDER_AFTER_CHECK_MAX_S
-        install.pieces.check_started_s = max(started_s, oldest_s)
+    """Record a check or a load order that succeeded."""
+    if step is LoadStep.CHECK:
+        checks.record_check(install.pieces, part, started_s, now_s)
     elif step is LoadStep.START:
         install.load_ordered_s = now_s
 
 
+def record_staged(install: Install, staged: dict[int, bytes]) -> None:
+    """Record pieces that were copied to the worker and not read since."""
+    install.pieces.staged.update(staged)
+    install.pieces.check.discard()
+
+
 def can_share_version(
     worker: WorkerState,
     install: Install | None,
--- a/apricotpin/components/installer/events.py
+++ b/apricotpin/components/installer/events.py
@@ -5,7 +5,7 @@
 from apricotpin.components.installer.decisions import LoadStep
 from apricotpin.components.installer.state import Install
 from apricotpin.errors import Failure
-from apricotpin.messages.pieces import WorkerReport
+from apricotpin.messages.pieces import LayerRange, WorkerReport
 
 
 class ReportRead:
@@ -70,25 +70,39 @@
 
 
 class LoadJob:
-    """Describe a load step; pieces maps indexes to content.
+    """Describe a load step.
 
-    started_s is when the step was assigned, on the monotonic clock.
+    part is the layers that a check or a load order concerns. pieces maps the
+    indexes of the pieces to copy to their content. started_s is when the step
+    was assigned, on the monotonic clock. A load order is not sent after
+    send_by_s, on the boot-time clock.
     """
 
-    __slots__ = ('digests', 'install', 'pieces', 'started_s', 'step')
+    __slots__ = (
+        'digests',
+        'install',
+        'part',
+        'pieces',
+        'send_by_s',
+        'started_s',
+        'step',
+    )
 
     def __init__(
         self,
         step: LoadStep,
         install: Install,
+        part: LayerRange,
         pieces: dict[int, bytes],
         started_s: float = 0,
     ) -> None:
         self.step = step
         self.started_s = started_s
         self.install = install
-        self.digests = tuple(install.pieces.digests)
+        self.part = part
+        self.digests = dict(enumerate(install.pieces.digests))
         self.pieces = pieces
+        self.send_by_s: float = 0
 
 
 class LoadJobDone:
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -5,7 +5,12 @@
 
 from loguru import logger
 
-from apricotpin.components.installer import const, decisions, switching
+from apricotpin.components.installer import (
+    checks,
+    const,
+    decisions,
+    switching,
+)
 from apricotpin.components.installer.entry_hosts import EntryHosts
 from apricotpin.components.installer.events import (
     CanShareVersion,
@@ -135,16 +140,19 @@
                 install, message.pieces, message.succeeded, now_s
             )
             _log_if_complete(install)
-        elif message.succeeded:
-            if step is decisions.LoadStep.STAGE:
+        elif step is decisions.LoadStep.STAGE:
+            if message.succeeded:
                 self._versions.record_staged(install, message.pieces)
+                decisions.record_staged(install, message.pieces)
+        elif message.succeeded:
             decisions.record_step(
                 install,
                 step,
-                message.pieces,
+                message.job.part,
                 message.job.started_s,
                 now_s,
             )
+            _log_if_overlong(message.job, now_s)
         reply.ok()
         self._assign_jobs()
 
@@ -188,7 +196,7 @@
             # A restarted worker may have lost its staged pieces.
             install.load_ordered_s = None
             install.pieces.staged.clear()
-            install.pieces.check_started_s = None
+            install.pieces.check.discard()
             install.pieces.is_scanned = bool(install.pieces.content)
         if switching.is_installed(worker, install) and install.pieces.content:
             # The content is not needed any more: if the worker restarts, its
@@ -196,9 +204,11 @@
             install.pieces.content.clear()
             install.pieces.staged.clear()
             install.pieces.is_scanned = False
-            install.pieces.check_started_s = None
+            install.pieces.check.discard()
             install.load_ordered_s = None
             self._versions.discard_replaced(worker)
+        else:
+            checks.finish_loaded_part(install, worker)
 
     def _apply_manifest(self, install: Install, content: bytes) -> None:
         try:
@@ -220,7 +230,7 @@
             step = decisions.next_step(install, self._worker, now_s)
             if step is not decisions.LoadStep.WAIT:
                 loader = self._loaders.pop()
-                loader.ok(_build_load_job(install, step, now_s))
+                loader.ok(_build_load_job(install, step, self._worker, now_s))
 
     def _detect_suspension(self, install: Install) -> None:
         """Have staged pieces checked again after a suspension of the host.
@@ -234,7 +244,7 @@
             logger.bind(suspended_s=round(new_suspension_s, 2)).info(
                 'host_suspended'
             )
-            install.pieces.check_started_s = None
+            install.pieces.check.discard()
 
     def _handle_fetch_failure(self, message: PieceFetched) -> None:
         install = message.job.install
@@ -294,18 +304,36 @@
         ).info('pieces_complete')
 
 
+def _log_if_overlong(job: LoadJob, now_s: float) -> None:
+    took_s = now_s - job.started_s
+    if job.step is decisions.LoadStep.CHECK and took_s > const.ORDER_AGE_MAX_S:
+        logger.bind(
+            version=job.install.version,
+            layers=f'{job.part.start}-{job.part.end}',
+            took_ms=int(took_s * 1000),
+        ).warning('check_overlong')
+
+
 def _build_load_job(
     install: Install,
     step: decisions.LoadStep,
+    worker: WorkerState,
     now_s: float,
 ) -> LoadJob:
+    part = checks.next_part(install, worker)
+    content = install.pieces.content
     pieces: dict[int, bytes] = {}
     if step is decisions.LoadStep.STAGE:
         pieces = {
-            index: content
-            for index, content in install.pieces.content.items()
+            index: content[index]
+            for index in content
             if index not in install.pieces.staged
         }
     elif step is decisions.LoadStep.CHECK:
-        pieces = dict(install.pieces.content)
-    return LoadJob(step, install, pieces, now_s)
+        indexes = checks.piece_indexes(install.pieces, part)
+        pieces = {index: content[index] for index in indexes}
+    job = LoadJob(step, install, part, pieces, now_s)
+    if step is decisions.LoadStep.START:
+        left_s = checks.order_time_left_s(install.pieces.check, now_s)
+        job.send_by_s = clocks.boot_time_s() + left_s
+    return job
--- a/apricotpin/components/installer/state.py
+++ b/apricotpin/components/installer/state.py
@@ -31,18 +31,47 @@
         )
 
 
+class StagedCheck:
+    """Track the last check that found the staged pieces intact.
+
+    started_s is None if there was none; times are monotonic. end_layer is the
+    end of the layers whose pieces were checked. overlong_count counts the
+    checks in a row that took too long to permit a load order. part_layers is
+    how many layers are checked and loaded at a time, 0 for all.
+    """
+
+    __slots__ = (
+        'end_layer',
+        'ended_s',
+        'overlong_count',
+        'part_layers',
+        'started_s',
+    )
+
+    def __init__(self) -> None:
+        self.started_s: float | None = None
+        self.ended_s: float | None = None
+        self.end_layer = 0
+        self.overlong_count = 0
+        self.part_layers = 0
+
+    def discard(self) -> None:
+        """Require a new check before the next load order."""
+        self.started_s = None
+        self.ended_s = None
+
+
 class VersionPieces:
     """Track the pieces of one version; times are on the monotonic clock.
 
     content maps indexes to verified content, fetching and staged are sets of
     indexes. is_scanned: the worker's staged pieces have been searched for
-    those of this version. check_started_s is the start of the last check that
-    found all staged pieces intact, None if there was none. started_s is the
-    start of the transfer, for the duration in the log.
+    those of this version. started_s is the start of the transfer, for the
+    duration in the log.
     """
 
     __slots__ = (
-        'check_started_s',
+        'check',
         'content',
         'digests',
         'fetching',
@@ -62,7 +91,7 @@
         self.fetching: set[int] = set()
         self.staged: set[int] = set()
         self.is_scanned = False
-        self.check_started_s: float | None = None
+        self.check = StagedCheck()
 
     @property
     def is_complete(self) -> bool:
@@ -80,7 +109,7 @@
     requests, since they can be resumed at another one. draining_since_s is
     when entry hosts were asked to send new requests to other workers, None
     while they are not. load_ordered_s is when the worker was ordered to load
-    the version, None before that.
+    layers of the version, None before that.
     """
 
     __slots__ = (
--- a/apricotpin/components/installer/tasks.py
+++ b/apricotpin/components/installer/tasks.py
@@ -1,7 +1,7 @@
 """Tasks that fetch pieces and control the worker beside this process."""
 
 import types
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import gevent
@@ -30,6 +30,7 @@
 )
 from apricotpin.core import Kernel
 from apricotpin.errors import Failure
+from apricotpin.helpers import clocks
 from apricotpin.helpers.hashing import matches_sha256
 from apricotpin.helpers.peer_client import PeerClient
 from apricotpin.helpers.pieces import fetch_piece
@@ -137,8 +138,14 @@
 
 def _scan(kernel: Kernel, job: LoadJob) -> LoadJobDone:
     """Return the staged pieces that match the version's manifest."""
+    return _read_staged(kernel, job, job.digests)
+
+
+def _read_staged(
+    kernel: Kernel, job: LoadJob, indexes: Iterable[int]
+) -> LoadJobDone:
     found = {}
-    for index, digest in enumerate(job.digests):
+    for index in indexes:
         read = kernel.call(
             SERVICE_ENGINE,
             ReadStagedPiece(job.install.model, index),
@@ -146,7 +153,7 @@
         )
         if read.is_err():
             return LoadJobDone(job, False, {})
-        if matches_sha256(read.ok_value, digest):
+        if matches_sha256(read.ok_value, job.digests[index]):
             found[index] = read.ok_value
     return LoadJobDone(job, True, found)
 
@@ -157,7 +164,12 @@
     for index, content in job.pieces.items():
         written = kernel.call(
             SERVICE_ENGINE,
-            StagePiece(job.install.model, index, content),
+            StagePiece(
+                job.install.model,
+                index,
+                content,
+                clocks.boot_time_s() + const.CALL_TIMEOUT_S,
+            ),
             const.CALL_TIMEOUT_S,
         )
         if written.is_err():
@@ -175,7 +187,7 @@
 
     Staged pieces may become corrupt, and the worker does not check them.
     """
-    scanned = _scan(kernel, job)
+    scanned = _read_staged(kernel, job, job.pieces)
     corrupt = {
         index: content
         for index, content in job.pieces.items()
@@ -185,7 +197,7 @@
         return scanned
     if corrupt:
         logger.bind(pieces=len(corrupt)).warning('staged_pieces_bad')
-        _stage(kernel, LoadJob(LoadStep.STAGE, job.install, corrupt))
+        _stage(kernel, LoadJob(LoadStep.STAGE, job.install, job.part, corrupt))
         return LoadJobDone(job, False, {})
     return LoadJobDone(job, True, {})
 
@@ -198,8 +210,8 @@
         LoadVersion(
             install.model,
             install.version,
-            0,
-            install.pieces.layers,
+            job.part,
+            job.send_by_s,
             install.may_truncate,
         ),
         const.CALL_TIMEOUT_S,
@@ -207,6 +219,7 @@
     bound = logger.bind(
         model=install.model,
         version=install.version,
+        layers=f'{job.part.start}-{job.part.end}',
         turn=install.turn,
     )
     if started.is_err():
--- a/apricotpin/helpers/http.py
+++ b/apricotpin/helpers/http.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import math
 import time
 from typing import Any, Final
 from urllib.parse import quote
@@ -12,6 +13,7 @@
 from result import Err, Result
 
 from apricotpin.errors import ErrorKind, Failure
+from apricotpin.helpers import clocks
 from apricotpin.helpers.addresses import Address
 from apricotpin.helpers.exchange import (
     Exchange,
@@ -86,10 +88,11 @@
     """Describe a request to the platform.
 
     url is a complete URL for send_request(), and a path with its query for a
-    PooledHttpClient.
+    PooledHttpClient. The request is not sent after send_by_s, on the boot-time
+    clock.
     """
 
-    __slots__ = ('body', 'content_type', 'method', 'url')
+    __slots__ = ('body', 'content_type', 'method', 'send_by_s', 'url')
 
     def __init__(
         self,
@@ -97,7 +100,9 @@
         url: str,
         body: bytes = b'',
         content_type: str = 'application/json',
+        send_by_s: float = math.inf,
     ) -> None:
+        self.send_by_s = send_by_s
         self.method = method
         self.url = url
         self.body = body
@@ -238,6 +243,8 @@
 
     def _run(self, exchange: Exchange, request: HttpRequest) -> HttpResult:
         encoded = request.encode(self._address)
+        if clocks.boot_time_s() > request.send_by_s:
+            return Err(Verdict.START_OVERDUE)
         failed = exchange.send(encoded) or exchange.read_head()
         if failed:
             return Err(failed)
--- a/apricotpin/messages/pieces.py
+++ b/apricotpin/messages/pieces.py
@@ -50,15 +50,31 @@
         self.index = index
 
 
+class LayerRange:
+    """Describe the layers from start up to, but not including, end."""
+
+    __slots__ = ('end', 'start')
+
+    def __init__(self, start: int, end: int) -> None:
+        self.start = start
+        self.end = end
+
+
 class StagePiece:
-    """Ask the worker beside this process to store a piece for loading."""
+    """Ask the worker beside this process to store a piece for loading.
 
-    __slots__ = ('content', 'index', 'model')
+    The piece is not sent after send_by_s, on the boot-time clock.
+    """
+
+    __slots__ = ('content', 'index', 'model', 'send_by_s')
 
-    def __init__(self, model: str, index: int, content: bytes) -> None:
+    def __init__(
+        self, model: str, index: int, content: bytes, send_by_s: float
+    ) -> None:
         self.model = model
         self.index = index
         self.content = content
+        self.send_by_s = send_by_s
 
 
 class ReadStagedPiece:
@@ -78,14 +94,15 @@
     """Order the worker to load layers from its staged pieces.
 
     The worker first completes the requests that are running, or cuts them off
-    if may_truncate is set. end is exclusive.
+    if may_truncate is set. The order is not sent after send_by_s, on the
+    boot-time clock.
     """
 
     __slots__ = (
-        'end',
         'may_truncate',
         'model',
-        'start',
+        'part',
+        'send_by_s',
         'version',
     )
 
@@ -93,15 +110,15 @@
         self,
         model: str,
         version: int,
-        start: int,
-        end: int,
+        part: LayerRange,
+        send_by_s: float,
         may_truncate: bool = False,
     ) -> None:
         self.may_truncate = may_truncate
         self.model = model
         self.version = version
-        self.start = start
-        self.end = end
+        self.part = part
+        self.send_by_s = send_by_s
 
 
 class ReadWorkerReport:
--- a/apricotpin/platform/http_client.py
+++ b/apricotpin/platform/http_client.py
@@ -1,5 +1,6 @@
 """HTTP requests to workers and origins over pooled connections."""
 
+import math
 from collections.abc import Callable
 from typing import Any, Final
 
@@ -49,9 +50,10 @@
         path: str,
         body: bytes = b'',
         content_type: str = 'application/octet-stream',
+        send_by_s: float = math.inf,
     ) -> Result[HttpResponse, Failure]:
         """Send a request and return the complete response of any status."""
-        request = HttpRequest(method, path, body, content_type)
+        request = HttpRequest(method, path, body, content_type, send_by_s)
         outcome = self._client.call(request)
         return outcome.map_err(
             lambda verdict: Failure(
--- a/apricotpin/platform/worker.py
+++ b/apricotpin/platform/worker.py
@@ -88,7 +88,7 @@
         index=message.index,
     )
     return decode_expected(
-        client.call('PUT', path, message.content),
+        client.call('PUT', path, message.content, send_by_s=message.send_by_s),
         lambda _response: None,
         ErrorKind.ENGINE_REFUSED,
         (200, 201, 202, 204),
@@ -127,8 +127,8 @@
         if message.may_truncate
         else names.MODE_QUEUE,
         # source is the first layer, and to the one after the last.
-        'source': message.start,
-        'to': message.end,
+        'source': message.part.start,
+        'to': message.part.end,
     }
     return decode_expected(
         client.call(
@@ -136,6 +136,7 @@
             names.PATH_ORDER,
             json.dumps(order).encode(),
             'application/json',
+            message.send_by_s,
         ),
         lambda response: response.status,
         ErrorKind.ENGINE_REFUSED,
--- a/tests/helpers/http.feature
+++ b/tests/helpers/http.feature
@@ -107,3 +107,16 @@
       | idle |
       | 1    |
       | 2    |
+
+  Scenario Outline: a request to be sent within <left> s, while connections are in use for <busy> s, is sent <times> times
+    # An order to a worker must not take effect long after it was decided on.
+    Given http peer that responds
+    When http peer is to be sent a request within <left> s, while connections are in use for <busy> s
+    Then http peer received the request <times> times
+
+    Examples:
+      | left | busy | times |
+      | 5    | 0    | 1     |
+      | 5    | 0.2  | 1     |
+      | 0.1  | 0.2  | 0     |
+      | -1   | 0    | 0     |
--- a/tests/steps/http_steps.py
+++ b/tests/steps/http_steps.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from apricotpin.errors import ErrorKind
+from apricotpin.helpers import clocks
 from apricotpin.helpers.http import (
     HttpRequest,
     PooledHttpClient,
@@ -200,3 +201,30 @@
 def check_path(context, path):
     found = [request.path for request in context.upstream.received]
     assert found == [path], found
+
+
+@when(
+    'http peer is to be sent a request within {left:g} s, '
+    'while connections are in use for {busy:g} s'
+)
+def send_before(context, left, busy):
+    send_by_s = clocks.boot_time_s() + left
+    limit_s = busy or 1
+    limits = RequestLimits(limit_s, limit_s, limit_s, _BYTES_PER_MB)
+    client = PooledHttpClient(context.upstream.address, _CONNECTIONS, limits)
+    in_use = _CONNECTIONS if busy else 0
+    context.upstream.faults = ['silent'] * in_use
+    busy_calls = [
+        gevent.spawn(client.call, HttpRequest('GET', '/busy'))
+        for _ in range(in_use)
+    ]
+    gevent.sleep(0)
+    client.call(HttpRequest('POST', '/late', send_by_s=send_by_s))
+    gevent.joinall(busy_calls)
+    client.close()
+
+
+@then('http peer received the request {times:d} times')
+def received_times(context, times):
+    found = [one.path for one in context.upstream.received]
+    assert found.count('/late') == times, found
