Count pieces as overwritten also when a copy to the worker failed

What callers could have seen: tokens of a worker that was loaded with pieces of two versions (WHOLE).

Cause: pieces of an older version stopped counting as staged only after a copy of newer pieces over them had succeeded. A copy that breaks off after some pieces, or whose response is lost, overwrites them too. If the agent then went back to the older version, whose check was less than 2 s old, it ordered the worker to load it without copying or reading anything.

Evidence: three new rows of decisions.feature failed before (119 passed, 3 failed): after a failed copy of 10 of 30 pieces all 30 counted as staged, and the check of the older version stood after a copy that succeeded.

Change: each piece of a copy job counts as overwritten for all other versions, whatever the outcome, and their checks are discarded. 122 passed.

--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -141,8 +141,9 @@
             )
             _log_if_complete(install)
         elif step is decisions.LoadStep.STAGE:
+            # A copy that failed may have overwritten pieces all the same.
+            self._versions.record_overwritten(install, message.job.pieces)
             if message.succeeded:
-                self._versions.record_staged(install, message.pieces)
                 decisions.record_staged(install, message.pieces)
         elif message.succeeded:
             decisions.record_step(
--- a/apricotpin/components/installer/versions.py
+++ b/apricotpin/components/installer/versions.py
@@ -80,12 +80,15 @@
         self.current = self._deferred.pop(install.version)
         install.pieces.transfer.idle_since_s = now_s
 
-    def record_staged(self, install: Install, indexes: Iterable[int]) -> None:
-        """Record that staged pieces replaced those of other versions."""
+    def record_overwritten(
+        self, install: Install, indexes: Iterable[int]
+    ) -> None:
+        """Record that pieces may have replaced those of other versions."""
         installs = [*self._deferred.values(), self.current]
         for other in installs:
             if other is not None and other is not install:
                 other.pieces.staged.difference_update(indexes)
+                other.pieces.check.discard()
 
     def discard_replaced(self, worker: WorkerState) -> None:
         """Discard deferred versions up to the loaded one."""
--- a/tests/components/installer/decisions.feature
+++ b/tests/components/installer/decisions.feature
@@ -225,6 +225,20 @@
       | 0         | checked   |
       | 2         | unchecked |
 
+  Scenario Outline: copying pieces <copied> of version 3 <ends>: <staged> of 30 pieces of version 2 count as staged
+    # A copy that failed may have overwritten staged pieces of the other version,
+    # with which the worker would then be loaded.
+    Given an installer that has 30 pieces of version 2 when it receives version 3
+    When the installer copied pieces <copied> of version 3, which <ends>
+    Then the installer counts <staged> pieces of version 2 as staged
+    And the installer's staged pieces count as unchecked
+
+    Examples:
+      | copied | ends      | staged |
+      | 0-9    | succeeded | 20     |
+      | 0-9    | failed    | 20     |
+      | 0-63   | failed    | 0      |
+
   Scenario: the older version is fetched while the entry host lacks the newer one
     # An idle link shortens the time in which a version can be served.
     Given an installer that has 30 pieces of version 2 when it receives version 3
--- a/tests/steps/installer_steps.py
+++ b/tests/steps/installer_steps.py
@@ -3,6 +3,7 @@
 import contextlib
 import hashlib
 import json
+import time
 import types
 
 from behave import given, then, when
@@ -434,6 +435,7 @@
     job.install.pieces.transfer.fetch_time_s += _SLOW_FETCH_S
     _send_hello(installer, 3)
     context.installer = installer
+    context.older = job.install
 
 
 @when("the installer's host was suspended for {suspended:g} s after a check")
@@ -445,6 +447,28 @@
     _send_hello(context.installer, 3)
 
 
+@when(
+    'the installer copied pieces {first:d}-{last:d} of version 3, which {ends}'
+)
+def copied_pieces(context, first, last, ends):
+    older = context.older
+    older.pieces.staged = set(older.pieces.content)
+    older.pieces.check.started_s = time.monotonic()
+    newer = _install(3, len(_PIECES))
+    pieces = {index: b'' for index in range(first, last + 1)}
+    step = decisions.LoadStep.STAGE
+    job = events.LoadJob(step, newer, LayerRange(0, _LAYERS), pieces)
+    done = events.LoadJobDone(job, ends == 'succeeded', pieces)
+    context.installer.handle_load_job_done(done, Reply())
+    context.install = older
+
+
+@then('the installer counts {staged:d} pieces of version 2 as staged')
+def counts_staged(context, staged):
+    found = len(context.install.pieces.staged)
+    assert found == staged, found
+
+
 @then("the installer's staged pieces count as {checked}")
 def staged_count_as(context, checked):
     found = context.install.pieces.check.started_s is not None
