Close a connection on which a request was not sent to its end

Cause: a worker may respond before it has read a long body, and read on later. Exchange.send() gives up sending once the silence limit is over and reads the response, as it should; release() then looked at the response alone, found it complete and gave the connection back for the next request, whose bytes took the place of the unsent rest.

Change: an exchange notes that the last byte of its request was handed to the kernel, and releases its connection only then. All users of Exchange are repaired by that: the gateway, the frontend, and the pooled clients of the store, the origin, workers and agents. Read as well and sound: calls between our processes close their connection on every failure and when their greenlet is killed; a request whose sending is interrupted is cancelled, which closes its connection; the listener for callers closes a connection whose body was not read.

--- a/apricotpin/helpers/exchange.py
+++ b/apricotpin/helpers/exchange.py
@@ -59,6 +59,7 @@
         'sent',
         '_connection',
         '_deadline_s',
+        '_is_request_complete',
         '_method',
         '_received',
         '_silence_timeout_s',
@@ -79,6 +80,7 @@
         self._received = bytearray() if reused else None
         self.reused = reused
         self.sent = False
+        self._is_request_complete = False
         self._connection: socket.socket | None = connection
         self._silence_timeout_s = silence_timeout_s
         self._deadline_s = deadline_s
@@ -104,6 +106,7 @@
         except OSError:
             # The upstream may have responded before it read the whole request.
             return None
+        self._is_request_complete = True
         return None
 
     def silence_deadline_s(self) -> float:
@@ -201,9 +204,15 @@
                 return Err(Verdict.TOO_LARGE)
 
     def release(self) -> socket.socket | None:
-        """Return the connection if it may carry another request, else None."""
+        """Return the connection if it may carry another request, else None.
+
+        If the request was not sent to its end, the upstream would take the
+        next one on the connection for the rest of it.
+        """
         connection = self._connection
-        if connection is None or not self.parser.can_reuse_connection:
+        if connection is None or not self._is_request_complete:
+            return None
+        if not self.parser.can_reuse_connection:
             return None
         if not is_open_and_idle(connection):
             return None
--- a/tests/helpers/exchange.feature
+++ b/tests/helpers/exchange.feature
@@ -58,3 +58,18 @@
       | 1024       | idle             | usable |
       | 1024       | closed by peer   | closed |
       | 1024       | with unread data | closed |
+
+  Scenario Outline: after an early response and a request of <size> KiB, sent <how>, the connection is <kept>
+    # A worker may respond before it has read a long body and read on later. The
+    # next request on the connection would take the place of the unsent rest.
+    Given exchange with a peer that responds <response> before it reads the body
+    When exchange sends a request of <size> KiB through a buffer of <buffer> KiB
+    Then exchange receives the response
+    And exchange releases the connection as <kept>
+
+    Examples:
+      | response          | size | buffer | how     | kept   |
+      | 503, keep-alive   | 1    | 64     | whole   | usable |
+      | 503, keep-alive   | 4096 | 64     | in part | closed |
+      | 200, keep-alive   | 4096 | 64     | in part | closed |
+      | 503, close        | 1    | 64     | whole   | closed |
--- a/tests/helpers/http.feature
+++ b/tests/helpers/http.feature
@@ -108,6 +108,18 @@
       | 1    |
       | 2    |
 
+  Scenario Outline: after an early response to <size> KiB, the next call uses <connections> connections
+    # The rest of a body that was not sent must not be made up of the bytes of
+    # the next request, for an origin, a store or a worker's own calls.
+    Given http peer that responds before it reads the body
+    When http peer is sent <size> KiB and then a short call
+    Then http peer has had <connections> connections
+
+    Examples:
+      | size  | connections |
+      | 1     | 1           |
+      | 16384 | 2           |
+
   Scenario Outline: a request to be sent within <left> s, while connections are in use for <busy> s, is sent <times> times
     # An order to a worker must not take effect long after it was decided on.
     Given http peer that responds
--- a/tests/steps/exchange_steps.py
+++ b/tests/steps/exchange_steps.py
@@ -3,6 +3,7 @@
 import fcntl
 import time
 import tracemalloc
+from http.client import parse_headers
 
 from behave import given, then, when
 from gevent import sleep, socket, spawn
@@ -12,7 +13,9 @@
 from tests.upstream_fake import open_port
 
 _LIMIT_BYTES = 262144
+_BYTES_PER_KB = 1024
 _BYTES_PER_MB = 1048576
+_READ_MAX_BYTES = 65536
 _TICK_S = 0.01
 # Far less than the time for which the bytes are sent.
 _PAUSE_MAX_S = 0.2
@@ -135,3 +138,90 @@
 @then('exchange considers the connection {kept}')
 def check_considered(context, kept):
     assert is_open_and_idle(context.connection) == (kept == 'usable')
+
+
+_STATUSES = {
+    '503, keep-alive': b'HTTP/1.1 503 Full\r\n',
+    '200, keep-alive': _OK,
+    '503, close': b'HTTP/1.1 503 Full\r\nConnection: close\r\n',
+}
+_SEND_TIMEOUT_S = 0.3
+
+
+class EarlyResponder:
+    """Respond to the head of a request; read no body above 64 KiB."""
+
+    def __init__(self, response):
+        self._listener = open_port()
+        self._listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _BYTES_PER_KB
+        )
+        host, port = self._listener.getsockname()
+        self.address = f'{host}:{port}'
+        self._response = response
+        self._connections = []
+        self._greenlet = spawn(self._serve)
+
+    @property
+    def connections(self):
+        """Return the number of connections that were opened."""
+        return len(self._connections)
+
+    def close(self):
+        """Close the sockets."""
+        self._greenlet.kill()
+        for opened in (self._listener, *self._connections):
+            opened.close()
+
+    def _serve(self):
+        while True:
+            connection, _ = self._listener.accept()
+            self._connections.append(connection)
+            spawn(self._respond, connection)
+
+    def _respond(self, connection):
+        reader = connection.makefile('rb')
+        while reader.readline():
+            length = int(parse_headers(reader).get('Content-Length', 0))
+            connection.sendall(self._response)
+            if length > _READ_MAX_BYTES:
+                return
+            reader.read(length)
+
+
+@given('exchange with a peer that responds {response} before it reads the body')
+def start_early_responder(context, response):
+    encoded = _STATUSES[response] + b'Content-Length: 0\r\n\r\n'
+    context.sender = EarlyResponder(encoded)
+    context.cleanups = [context.sender.close]
+
+
+@when(
+    'exchange sends a request of {size:d} KiB through a buffer of '
+    '{buffer:d} KiB'
+)
+def send_long_request(context, size, buffer):
+    until_s = time.monotonic() + 2
+    connection = connect(context.sender.address, until_s)
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, buffer * _BYTES_PER_KB
+    )
+    body = b'x' * (size * _BYTES_PER_KB)
+    head = f'POST / HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n'
+    exchange = Exchange(connection, 'POST', _SEND_TIMEOUT_S, until_s)
+    context.cleanups.append(exchange.close)
+    context.verdict = exchange.send(head.encode() + body)
+    context.verdict = context.verdict or exchange.read_head()
+    context.body = exchange.read_all(_LIMIT_BYTES)
+    context.released = exchange.release()
+
+
+@then('exchange receives the response')
+def check_received(context):
+    assert context.verdict is None, context.verdict
+    assert context.body.ok_value == b'', context.body
+
+
+@then('exchange releases the connection as {kept}')
+def check_released(context, kept):
+    assert (context.released is not None) == (kept == 'usable')
--- a/tests/steps/http_steps.py
+++ b/tests/steps/http_steps.py
@@ -18,7 +18,11 @@
 )
 from apricotpin.platform.http_client import PlatformHttpClient
 from apricotpin.platform.store_client import StoreClient
-from tests.steps.exchange_steps import GreenletMonitor, start_sender
+from tests.steps.exchange_steps import (
+    EarlyResponder,
+    GreenletMonitor,
+    start_sender,
+)
 from tests.upstream_fake import FakeUpstream, reset
 
 _BYTES_PER_MB = 1048576
@@ -228,3 +232,25 @@
 def received_times(context, times):
     found = [one.path for one in context.upstream.received]
     assert found.count('/late') == times, found
+
+
+@given('http peer that responds before it reads the body')
+def start_early_peer(context):
+    context.peer = EarlyResponder(
+        b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+    )
+    context.client = PooledHttpClient(context.peer.address, 1, _LIMITS)
+    context.cleanups = [context.client.close, context.peer.close]
+
+
+@when('http peer is sent {size:d} KiB and then a short call')
+def send_long_and_short(context, size):
+    body = b'x' * (size * 1024)
+    for content in (body, b''):
+        response = context.client.call(HttpRequest('PUT', '/', content))
+        assert response.is_ok(), response
+
+
+@then('http peer has had {count:d} connections')
+def check_early_connections(context, count):
+    assert context.peer.connections == count, context.peer.connections
