End the wait for a caller's disconnect before its connection is closed

Cause: a greenlet of its own waited for the number of the descriptor. At the end of the request it was killed without waiting for its end, so that the listener could close the descriptor first. If the greenlet had begun to wait in the same turn of the event loop, libev registered a closed descriptor and aborted. Had another connection taken the number, the wait would have concerned that one. gevent ends the waits of its own sockets when they are closed, but not one for a bare number. Ruled out: a shortage of descriptors.

Change: the hub watches the descriptor, and stop() ends that at once, without a switch to another greenlet, so it can't be interrupted itself. The request is interrupted in the same turn in which the disconnect is seen, so that a request that must run to its end once it is sent can't be ended after that. There is one greenlet less for each request. No other code waits for the number of a descriptor.

--- a/apricotpin/components/gateway/application.py
+++ b/apricotpin/components/gateway/application.py
@@ -21,8 +21,8 @@
 )
 from apricotpin.components.gateway.callers import (
     ENVIRON_REQUEST,
+    DisconnectWatch,
     RawRequest,
-    watch_caller,
 )
 from apricotpin.components.gateway.service import (
     RegisterRequest,
@@ -55,7 +55,7 @@
         '_raw_request',
         '_started_s',
         '_stopping',
-        '_watcher',
+        '_watch',
     )
 
     def __init__(
@@ -67,7 +67,7 @@
         self._started_s = time.monotonic()
         self._head: RequestHead | None = None
         self._context: RequestContext | None = None
-        self._watcher: gevent.Greenlet | None = None
+        self._watch: DisconnectWatch | None = None
         self._outcome: dict[str, Any] = {'outcome': 'caller_left'}
         self._stopping = False
         self._is_registered = False
@@ -95,8 +95,8 @@
 
     def close(self) -> None:
         """Release the resources that the request holds and log its end."""
-        if self._watcher is not None:
-            self._watcher.kill(block=False)
+        if self._watch is not None:
+            self._watch.stop()
         if self._context is not None:
             attempts.cancel_attempt(self._context)
         self._unregister()
@@ -174,15 +174,13 @@
         self, context: RequestContext
     ) -> Result[Attempt, Failure]:
         self._context = context
-        self._watcher = gevent.spawn(
-            watch_caller,
-            self._raw_request.connection,
-            gevent.getcurrent(),
+        self._watch = DisconnectWatch(
+            self._raw_request.connection, gevent.getcurrent()
         )
         if context.resolved.route.kind is RouteKind.NON_IDEMPOTENT:
             # A request that is not idempotent runs to its end once it is
             # sent: the caller may want its effect even after disconnecting.
-            context.before_send = self._watcher.kill
+            context.before_send = self._watch.stop
         return serving.run_attempts(context)
 
     def _deliver(
--- a/apricotpin/components/gateway/callers.py
+++ b/apricotpin/components/gateway/callers.py
@@ -4,7 +4,7 @@
 import functools
 from typing import Any, Final
 
-from gevent import GreenletExit, getcurrent, socket
+from gevent import GreenletExit, get_hub, getcurrent, socket
 from gevent.event import Event
 from gevent.pywsgi import WSGIHandler
 from result import Err, Ok, Result
@@ -24,6 +24,8 @@
 from apricotpin.messages.desired import CallerLimits
 
 ENVIRON_REQUEST: Final = 'apricotpin.call'
+# The event of libev's I/O watchers for a descriptor that can be read.
+_READABLE: Final = 1
 _DEFAULT_LIMITS: Final = CallerLimits(
     const.HEAD_MAX_BYTES,
     const.BODY_MAX_BYTES,
@@ -188,14 +190,35 @@
         return str(int(status)), f'{head}{closing}'.encode()
 
 
-def watch_caller(connection: socket.socket, request: Any) -> None:
-    """Kill the request's greenlet when its caller closes the connection."""
-    try:
-        socket.wait_read(connection.fileno())
-        disconnected = not connection.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return
-    except OSError:
-        disconnected = True
-    if disconnected:
-        request.kill(CallerDisconnected, block=False)
+class DisconnectWatch:
+    """Interrupt a request's greenlet when its caller closes the connection.
+
+    The hub waits for the connection's descriptor, so that stop() takes effect
+    at once. A wait that outlives its connection makes the event loop abort the
+    process, or concerns the connection that has the descriptor next.
+    """
+
+    __slots__ = ('_connection', '_request', '_watcher')
+
+    def __init__(self, connection: socket.socket, request: Any) -> None:
+        self._connection = connection
+        self._request = request
+        self._watcher = get_hub().loop.io(connection.fileno(), _READABLE)
+        self._watcher.start(self._check)
+
+    def stop(self) -> None:
+        """End the wait; must be called before the connection is closed."""
+        self._watcher.stop()
+        self._watcher.close()
+
+    def _check(self) -> None:
+        # The hub calls this method, so it must not block.
+        if is_open_and_idle(self._connection):
+            return
+        self.stop()
+        try:
+            disconnected = not self._connection.recv(1, socket.MSG_PEEK)
+        except OSError:
+            disconnected = True
+        if disconnected:
+            self._request.throw(CallerDisconnected)
--- a/tests/components/gateway/disconnects.feature
+++ b/tests/components/gateway/disconnects.feature
@@ -16,6 +16,12 @@
       | idempotent     | after it was sent  | sends         | cancels         |
       | non_idempotent | after it was sent  | sends         | does not cancel |
 
+  Scenario: a process survives requests that are refused after their callers have left
+    # The event loop aborts the process if the wait for a caller's disconnect
+    # outlives the connection; all requests in progress are lost with it.
+    When gateway's process refuses 2000 requests, each of a caller that has left
+    Then gateway's process ends with code 0
+
   Scenario Outline: a request that must start <by> is <outcome> if its connection opens after <opens> s
     # A connection may take up to one second to open, and the start deadline may
     # pass meanwhile.
--- a/tests/steps/gateway_disconnect_steps.py
+++ b/tests/steps/gateway_disconnect_steps.py
@@ -1,6 +1,8 @@
 """Steps for callers that disconnect and for attempts that start late."""
 
 import contextlib
+import subprocess
+import sys
 
 from behave import given, then, when
 from gevent import sleep, socket, spawn
@@ -36,6 +38,7 @@
 from tests.upstream_fake import FakeUpstream
 
 _SETTLE_S = 0.1
+_PROCESS_TIMEOUT_S = 60
 # A slow connection has opened after this time.
 _OPENED_S = 0.2
 
@@ -45,7 +48,7 @@
         return b''
 
 
-class _World:
+class World:
     """Own the services around a gateway; tests trigger dispatch's reply."""
 
     def __init__(self, kind):
@@ -66,17 +69,16 @@
             SERVICE_ROUTES,
             {ResolveRequest: lambda _message, reply: reply.ok(resolved)},
         )
-        self._register(
-            SERVICE_DISPATCH,
-            {
-                CountRequest: ignore,
-                AttemptDone: ignore,
-                CancelSelection: ignore,
-                SelectUpstream: lambda message, reply: self.requested.append(
-                    (message.ticket, reply)
-                ),
-            },
-        )
+        # Handlers of dispatch by message class.
+        self.handlers = {
+            CountRequest: ignore,
+            AttemptDone: ignore,
+            CancelSelection: ignore,
+            SelectUpstream: lambda message, reply: self.requested.append(
+                (message.ticket, reply)
+            ),
+        }
+        self._register(SERVICE_DISPATCH, self.handlers)
         self._register(
             SERVICE_GATEWAY,
             {
@@ -87,7 +89,7 @@
             },
         )
         self._register(SERVICE_METRICS, {Observe: ignore})
-        spawn(self._serve)
+        spawn(self._serve_request)
         sleep(_SETTLE_S)
 
     def reply_with_worker(self, start_timeout_s=None):
@@ -115,20 +117,40 @@
     def _register(self, name, handlers):
         self.kernel.register(name, handlers)
 
-    def _serve(self):
+    def _serve_request(self):
         headers = [('Host', 'a.test'), ('X-Attempt-Id', 'r1')]
         raw = RawRequest('POST', '/x/', headers, _Body(), 99, self.accepted)
         handler = RequestHandler(self.kernel, make_codec(), raw)
+        body = []
         with contextlib.closing(handler):
-            for _ in handler.run(lambda _status, _headers: None):
+            for part in handler.run(lambda _status, _headers: None):
+                body.append(part)
                 sleep(0)
+        return body
+
+
+@when(
+    "gateway's process refuses {count:d} requests, "
+    'each of a caller that has left'
+)
+def refuse_requests(context, count):
+    command = [sys.executable, '-m', 'tests.refused_callers', str(count)]
+    context.ended = subprocess.run(
+        command, capture_output=True, timeout=_PROCESS_TIMEOUT_S, check=False
+    )
+
+
+@then("gateway's process ends with code {code:d}")
+def check_process_end(context, code):
+    found = context.ended
+    assert found.returncode == code, found.stderr[-500:]
 
 
 @given(
     'gateway serves a request that is {kind} while dispatch selects a worker'
 )
 def serve_request(context, kind):
-    context.world = _World(kind)
+    context.world = World(kind)
     context.cleanups = [context.world.close]
 
 
