Interrupt a request only while it is served

What callers could have seen: when a process ends, the interruption of a request that had just ended broke off the next request on its connection.

Cause: the end of a request is reported to the gateway service by a message. Until that is handled, the service could still interrupt the request, and the exception reached the greenlet of the connection, whatever that did by then.

Change: the request removes its own link at its end, and the interruption takes effect in the same turn of the event loop in which it is delivered.

--- a/apricotpin/components/gateway/application.py
+++ b/apricotpin/components/gateway/application.py
@@ -48,6 +48,7 @@
         '_codec',
         '_context',
         '_head',
+        '_interrupt',
         '_interrupted',
         '_is_registered',
         '_kernel',
@@ -73,6 +74,7 @@
         self._is_registered = False
         # Set by the gateway service if the process ends before the request.
         self._interrupted = Event()
+        self._interrupt: Callable[[Event], None] | None = None
 
     def run(self, start_response: StartResponse) -> Iterator[bytes]:
         """Yield the response body in parts."""
@@ -148,14 +150,15 @@
         )
         self._is_registered = True
         self._stopping = allowed.is_err() or allowed.ok_value.stopping
-        self._interrupted.rawlink(
-            functools.partial(_interrupt, gevent.getcurrent())
-        )
+        self._interrupt = functools.partial(_interrupt, gevent.getcurrent())
+        self._interrupted.rawlink(self._interrupt)
         return allowed
 
     def _unregister(self) -> None:
         if not self._is_registered:
             return
+        # From now on the greenlet serves other requests of the connection.
+        self._interrupted.unlink(self._interrupt)
         ticket = '' if self._context is None else self._context.ticket
         self._kernel.send(
             SERVICE_GATEWAY, UnregisterRequest(self._interrupted, ticket)
@@ -247,7 +250,9 @@
 
 
 def _interrupt(request: gevent.Greenlet, _interrupted: Event) -> None:
-    request.kill(serving.RequestInterrupted, block=False)
+    # The hub calls this function, so the request is interrupted at once and not
+    # after its end.
+    request.throw(serving.RequestInterrupted)
 
 
 def _status_line(status: int) -> str:
--- a/tests/components/gateway/disconnects.feature
+++ b/tests/components/gateway/disconnects.feature
@@ -22,6 +22,18 @@
     When gateway's process refuses 2000 requests, each of a caller that has left
     Then gateway's process ends with code 0
 
+  Scenario Outline: a connection whose request <state> when the process interrupts requests is <outcome>
+    # The interruption of a request that has ended must not concern the next
+    # request on its connection.
+    Given gateway serves a request that is idempotent while dispatch selects a worker
+    When gateway interrupts the request, which <state>
+    Then gateway's connection is <outcome>
+
+    Examples:
+      | state              | outcome         |
+      | waits for a worker | interrupted     |
+      | has ended          | not interrupted |
+
   Scenario Outline: a request that must start <by> is <outcome> if its connection opens after <opens> s
     # A connection may take up to one second to open, and the start deadline may
     # pass meanwhile.
--- a/tests/steps/gateway_disconnect_steps.py
+++ b/tests/steps/gateway_disconnect_steps.py
@@ -15,6 +15,7 @@
     RequestAllowed,
     UnregisterRequest,
 )
+from apricotpin.components.gateway.serving import RequestInterrupted
 from apricotpin.const import (
     SERVICE_DISPATCH,
     SERVICE_GATEWAY,
@@ -22,6 +23,7 @@
     SERVICE_ROUTES,
 )
 from apricotpin.core import Kernel
+from apricotpin.errors import ErrorKind
 from apricotpin.helpers import clocks
 from apricotpin.messages.requests import ResolveRequest, ResolvedRequest
 from apricotpin.messages.metrics import Observe
@@ -82,14 +84,14 @@
         self._register(
             SERVICE_GATEWAY,
             {
-                RegisterRequest: lambda _message, reply: reply.ok(
-                    RequestAllowed(False)
-                ),
+                RegisterRequest: self._allow,
                 UnregisterRequest: ignore,
             },
         )
         self._register(SERVICE_METRICS, {Observe: ignore})
-        spawn(self._serve_request)
+        self.interrupted = None
+        self.outcome = 'not interrupted'
+        spawn(self._serve)
         sleep(_SETTLE_S)
 
     def reply_with_worker(self, start_timeout_s=None):
@@ -117,6 +119,19 @@
     def _register(self, name, handlers):
         self.kernel.register(name, handlers)
 
+    def _allow(self, message, reply):
+        self.interrupted = message.interrupted
+        reply.ok(RequestAllowed(False))
+
+    def _serve(self):
+        try:
+            if self._serve_request() == [b'stopping']:
+                self.outcome = 'interrupted'
+            # The greenlet waits for the next request of the connection.
+            sleep(_OPENED_S)
+        except RequestInterrupted:
+            self.outcome = 'interrupted'
+
     def _serve_request(self):
         headers = [('Host', 'a.test'), ('X-Attempt-Id', 'r1')]
         raw = RawRequest('POST', '/x/', headers, _Body(), 99, self.accepted)
@@ -146,6 +161,21 @@
     assert found.returncode == code, found.stderr[-500:]
 
 
+@when('gateway interrupts the request, which {state}')
+def interrupt_request(context, state):
+    world = context.world
+    if state == 'has ended':
+        world.requested[0][1].err(ErrorKind.OVERLOADED, 'all are full')
+        sleep(_SETTLE_S)
+    world.interrupted.set()
+    sleep(_SETTLE_S)
+
+
+@then("gateway's connection is {outcome}")
+def check_interrupted(context, outcome):
+    assert context.world.outcome == outcome
+
+
 @given(
     'gateway serves a request that is {kind} while dispatch selects a worker'
 )
