Fetch a manifest again that pieces do not match

Cause: no digest covers the manifest. An agent took each piece that did not match it for corrupt and fetched that piece again, over 500 times a second and without a limit; it never fetched another manifest. The entry host fetched its own again after three such pieces, but agents had the wrong one by then, and entry hosts that had it from another one received it again. Two more ways to the same end: a wrong number of layers, which no piece contradicts, was believed for good, and an unreadable manifest was fetched again without a pause. Ruled out: a corrupt piece at the entry host, which compares each piece before it keeps it.

Change: an agent doubts its manifest once a piece has not matched twice. It asks for the manifest with the digest of the one that it doubts; a relay that holds the same one reads it again from its own source, which does so in turn, up to the origin. Pieces that do not match the new one are dropped. A manifest that comes back alike is confirmed: the source of the pieces is at fault then, is asked last, and the manifest is not read again for a second. A manifest that contradicts the layers or the number of pieces of the desired state is used only if it is read twice alike. Corrupt pieces come last and after pauses that grow to 2 s, at agents and at relays. The queue of a relay's fetches is a class of its own now. Hosts of the release before ignore the new field.

--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -32,6 +32,13 @@
 # this long.
 SOURCE_STALL_TIMEOUT_S: Final = 3.0
 MANIFEST_INDEX: Final = -1
+# After this many fetches of one piece that did not match its digest, the
+# manifest is fetched again, since it may be corrupt itself.
+CORRUPT_FETCHES_MAX: Final = 2
+# Pauses after a corrupt piece or manifest. They grow, since its source may be
+# at fault for long and each fetch delays responses on the agent's narrow link.
+CORRUPT_RETRY_FIRST_S: Final = 0.15
+CORRUPT_RETRY_MAX_S: Final = 2.0
 STATUS_NOT_YET: Final = 'not_yet'
 # An agent that sends a piece pauses for this many times the time that the piece
 # takes on its link. The pause begins when the piece is handed to the link, so
--- a/apricotpin/components/installer/decisions.py
+++ b/apricotpin/components/installer/decisions.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from apricotpin.components.installer import checks, const
+from apricotpin.components.installer import checks, const, manifests
 from apricotpin.components.installer.state import Install, WorkerState
 from apricotpin.components.installer.switching import (
     is_drained,
@@ -62,20 +62,27 @@
     may_assume_empty: an unreachable worker counts as having no staged pieces.
     """
     if not install.pieces.digests:
-        first = const.MANIFEST_INDEX
-        return None if first in install.pieces.fetching else first
+        return manifests.index_to_fetch(install.pieces)
     if not install.pieces.is_scanned and (
         can_reach_worker or not may_assume_empty
     ):
         # Wait for the scan: a piece that is already staged needs no transfer.
         return None
+    if install.pieces.manifest.is_doubted:
+        return manifests.index_to_fetch(install.pieces)
     excluded = install.pieces.fetching.union(install.pieces.content)
     missing = (
         index
         for index, _ in enumerate(install.pieces.digests)
         if index not in excluded
     )
-    return next(missing, None)
+    # Corrupt pieces come last, so that they do not delay the others.
+    corrupt_counts = install.pieces.manifest.corrupt_counts
+    return min(
+        missing,
+        key=lambda index: (corrupt_counts.get(index, 0), index),
+        default=None,
+    )
 
 
 def is_source_waiting(failure: Failure) -> bool:
@@ -108,6 +115,8 @@
     """Keep an intact piece and update the transfer times."""
     pieces = install.pieces
     pieces.content[index] = content
+    pieces.manifest.corrupt_counts.pop(index, None)
+    pieces.manifest.corrupt_in_row = 0
     pieces.transfer.idle_since_s = now_s
     pieces.transfer.fetched_count += 1
     pieces.transfer.fetch_time_s += now_s - started_s
@@ -115,7 +124,8 @@
 
 def is_intact(install: Install, index: int, content: bytes | None) -> bool:
     """Return whether content matches the piece's digest in the manifest."""
-    return matches_sha256(content, install.pieces.digests[index])
+    digests = install.pieces.digests
+    return index < len(digests) and matches_sha256(content, digests[index])
 
 
 def next_step(install: Install, worker: WorkerState, now_s: float) -> LoadStep:
--- a/apricotpin/components/installer/events.py
+++ b/apricotpin/components/installer/events.py
@@ -2,6 +2,7 @@
 
 from result import Result
 
+from apricotpin.components.installer import const
 from apricotpin.components.installer.decisions import LoadStep
 from apricotpin.components.installer.state import Install
 from apricotpin.errors import Failure
@@ -28,9 +29,17 @@
 
     An entry host that does not hold the piece waits up to wait_ms for it.
     started_s is when the job was assigned, on the monotonic clock.
+    doubted_digest is that of the manifest to be replaced, empty if none is.
     """
 
-    __slots__ = ('addresses', 'index', 'install', 'started_s', 'wait_ms')
+    __slots__ = (
+        'addresses',
+        'doubted_digest',
+        'index',
+        'install',
+        'started_s',
+        'wait_ms',
+    )
 
     def __init__(
         self,
@@ -45,10 +54,16 @@
         self.install = install
         self.index = index
         self.addresses = addresses
+        is_manifest = index == const.MANIFEST_INDEX
+        manifest = install.pieces.manifest
+        self.doubted_digest = manifest.doubted_digest if is_manifest else ''
 
 
 class PieceFetched:
-    """Carry a fetched piece, or the failure to fetch it."""
+    """Carry a fetched piece, or the failure to fetch it.
+
+    The reply is how many pieces in a row did not match the manifest.
+    """
 
     __slots__ = ('address', 'content', 'job')
 
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -1,6 +1,5 @@
 """Service that installs declared versions on the worker beside the agent."""
 
-import json
 import time
 
 from loguru import logger
@@ -9,6 +8,7 @@
     checks,
     const,
     decisions,
+    manifests,
     switching,
 )
 from apricotpin.components.installer.entry_hosts import EntryHosts
@@ -106,23 +106,24 @@
         """Keep an intact piece, or record why the fetch failed."""
         install, index = message.job.install, message.job.index
         install.pieces.fetching.discard(index)
-        reply.ok()
+        corrupt_in_row = 0
         if message.content.is_err():
             self._handle_fetch_failure(message)
-            self._assign_jobs()
-            return
-        now_s = time.monotonic()
-        content = message.content.ok_value
-        if index == const.MANIFEST_INDEX:
-            self._apply_manifest(install, content)
-        elif decisions.is_intact(install, index, content):
-            started_s = message.job.started_s
-            decisions.record_piece(install, index, content, started_s, now_s)
+        elif index == const.MANIFEST_INDEX:
+            corrupt_in_row = self._apply_manifest(message)
+        elif decisions.is_intact(install, index, message.content.ok_value):
+            decisions.record_piece(
+                install,
+                index,
+                message.content.ok_value,
+                message.job.started_s,
+                time.monotonic(),
+            )
             _log_if_complete(install)
         else:
-            logger.bind(index=index, source=message.address).warning(
-                'piece_corrupt',
-            )
+            self._entry_hosts.back_off(message.address)
+            corrupt_in_row = _record_corrupt_piece(message)
+        reply.ok(corrupt_in_row)
         self._assign_jobs()
 
     def enqueue_loader(self, _message: GetNextLoadJob, reply: Reply) -> None:
@@ -211,13 +212,24 @@
         else:
             checks.finish_loaded_part(install, worker)
 
-    def _apply_manifest(self, install: Install, content: bytes) -> None:
+    def _apply_manifest(self, message: PieceFetched) -> int:
+        """Use a manifest; return how many in a row were unreadable."""
+        install = message.job.install
+        bound = logger.bind(version=install.version, source=message.address)
         try:
-            document = json.loads(content)
-            install.pieces.layers = int(document['layers'])
-            install.pieces.digests = [str(one) for one in document['digests']]
+            is_replaced = manifests.replace_manifest(
+                install.pieces, message.content.ok_value
+            )
         except (ValueError, KeyError, TypeError) as error:
-            logger.bind(error=repr(error)).warning('manifest_unreadable')
+            bound.bind(error=repr(error)).warning('manifest_unreadable')
+            self._entry_hosts.back_off(message.address)
+            return manifests.record_unreadable(install.pieces)
+        if is_replaced:
+            bound.bind(pieces=len(install.pieces.content)).warning(
+                'manifest_replaced'
+            )
+            _log_if_complete(install)
+        return 0
 
     def _assign_jobs(self) -> None:
         install = self._versions.current
@@ -250,6 +262,8 @@
     def _handle_fetch_failure(self, message: PieceFetched) -> None:
         install = message.job.install
         failure = message.content.err_value
+        if message.job.index == const.MANIFEST_INDEX:
+            manifests.dismiss_doubt(install.pieces)
         if not decisions.record_fetch_failure(
             install, failure, time.monotonic()
         ):
@@ -295,6 +309,19 @@
         return FetchJob(install, index, addresses, wait_ms, now_s)
 
 
+def _record_corrupt_piece(message: PieceFetched) -> int:
+    install, index = message.job.install, message.job.index
+    corrupt_in_row = manifests.record_corrupt_piece(install.pieces, index)
+    logger.bind(
+        version=install.version,
+        index=index,
+        source=message.address,
+        in_row=corrupt_in_row,
+        manifest_doubted=install.pieces.manifest.is_doubted,
+    ).warning('piece_corrupt')
+    return corrupt_in_row
+
+
 def _log_if_complete(install: Install) -> None:
     if install.pieces.is_complete:
         logger.bind(
--- a/apricotpin/components/installer/state.py
+++ b/apricotpin/components/installer/state.py
@@ -61,6 +61,28 @@
         self.ended_s = None
 
 
+class ManifestState:
+    """Track the manifest of a version.
+
+    digest is the SHA-256 of its bytes, empty before the first one. is_doubted:
+    it is to be fetched again. corrupt_counts counts by index the pieces that
+    did not match it, corrupt_in_row all those since one that did.
+    """
+
+    __slots__ = ('corrupt_counts', 'corrupt_in_row', 'digest', 'is_doubted')
+
+    def __init__(self) -> None:
+        self.digest = ''
+        self.is_doubted = False
+        self.corrupt_counts: dict[int, int] = {}
+        self.corrupt_in_row = 0
+
+    @property
+    def doubted_digest(self) -> str:
+        """Return the digest if the manifest is doubted, else no text."""
+        return self.digest if self.is_doubted else ''
+
+
 class VersionPieces:
     """Track the pieces of one version; times are on the monotonic clock.
 
@@ -77,6 +99,7 @@
         'fetching',
         'is_scanned',
         'layers',
+        'manifest',
         'staged',
         'started_s',
         'transfer',
@@ -86,6 +109,7 @@
         self.started_s = started_s
         self.transfer = TransferProgress(started_s)
         self.layers = 0
+        self.manifest = ManifestState()
         self.digests: list[str] = []
         self.content: dict[int, bytes] = {}
         self.fetching: set[int] = set()
--- a/apricotpin/components/installer/tasks.py
+++ b/apricotpin/components/installer/tasks.py
@@ -1,5 +1,6 @@
 """Tasks that fetch pieces and control the worker beside this process."""
 
+import random
 import types
 from collections.abc import Callable, Iterable
 from typing import Final
@@ -31,6 +32,7 @@
 from apricotpin.core import Kernel
 from apricotpin.errors import Failure
 from apricotpin.helpers import clocks
+from apricotpin.helpers.backoff import jittered_backoff
 from apricotpin.helpers.hashing import matches_sha256
 from apricotpin.helpers.peer_client import PeerClient
 from apricotpin.helpers.pieces import fetch_piece
@@ -49,6 +51,11 @@
 from apricotpin.messages.weights import FetchChunk
 
 
+_CORRUPT_BACKOFF_S: Final = jittered_backoff(
+    const.CORRUPT_RETRY_FIRST_S, const.CORRUPT_RETRY_MAX_S, random.random
+)
+
+
 def poll_reports(kernel: Kernel) -> None:
     """Read the worker's report at a fixed interval."""
     while True:
@@ -71,10 +78,12 @@
         job: FetchJob = reply.ok_value
         address = job.addresses[0]
         content = _fetch(client, job, address)
-        kernel.call(
+        corrupt_in_row = kernel.call(
             SERVICE_INSTALLER,
             PieceFetched(job, address, content),
-        )
+        ).unwrap_or(0)
+        if corrupt_in_row:
+            gevent.sleep(_CORRUPT_BACKOFF_S(corrupt_in_row))
         if content.is_err() and not is_source_waiting(content.err_value):
             gevent.sleep(const.RETRY_DELAY_S)
 
@@ -132,6 +141,7 @@
         str(install.version),
         job.index,
         job.wait_ms,
+        doubted_digest=job.doubted_digest,
     )
     return fetch_piece(client, address, request, const.FETCH_TIMEOUT_S)
 
--- a/apricotpin/components/relay/__init__.py
+++ b/apricotpin/components/relay/__init__.py
@@ -32,6 +32,7 @@
             FetchChunk: relay.fetch_chunk,
             events.GetNextFetchJob: relay.assign_job,
             events.PieceFetched: relay.handle_fetched_piece,
+            events.RetryPiece: relay.retry_piece,
         },
     )
     return Ok(None)
--- a/apricotpin/components/relay/agents.py
+++ b/apricotpin/components/relay/agents.py
@@ -36,6 +36,11 @@
             if spec.engine is not None
         }
 
+    def engine_of(self, model: str) -> Engine | None:
+        """Return what the desired state says of a model, None if nothing."""
+        engines = (one for one in self._engines.values() if one.model == model)
+        return next(engines, None)
+
     def record_report(
         self, report: LoadReport, now_s: float
     ) -> ModelVersion | None:
--- a/apricotpin/components/relay/const.py
+++ b/apricotpin/components/relay/const.py
@@ -26,6 +26,13 @@
 # After this many fetches of one piece that did not match its digest, the
 # manifest is fetched again, since it may be corrupt itself.
 CORRUPT_FETCHES_MAX: Final = 3
+# Pauses before a piece is fetched again that was corrupt more than once. They
+# grow, since its source may be at fault for long and all its bytes are priced.
+CORRUPT_RETRY_FIRST_S: Final = 0.2
+CORRUPT_RETRY_MAX_S: Final = 2.0
+# A manifest that was read less than this ago is not read again when a requester
+# doubts it.
+MANIFEST_TRUSTED_S: Final = 1.0
 
 STATUS_NOT_YET: Final = 'not_yet'
 STATUS_UNKNOWN: Final = 'unknown_version'
--- a/apricotpin/components/relay/events.py
+++ b/apricotpin/components/relay/events.py
@@ -29,6 +29,16 @@
         self.content = content
 
 
+class RetryPiece:
+    """Ask to fetch a piece again after a pause."""
+
+    __slots__ = ('cached', 'index')
+
+    def __init__(self, cached: CachedVersion, index: int) -> None:
+        self.cached = cached
+        self.index = index
+
+
 class GetNextFetchJob:
     """Ask for the next fetch job; the reply comes once there is one."""
 
@@ -42,10 +52,11 @@
     """Describe a piece to fetch and its source.
 
     origin is the origin's address. The source may wait up to wait_ms for a
-    piece that it lacks.
+    piece that it lacks. doubted_digest is that of the manifest to be replaced,
+    empty if none is.
     """
 
-    __slots__ = ('index', 'origin', 'source', 'wait_ms')
+    __slots__ = ('doubted_digest', 'index', 'origin', 'source', 'wait_ms')
 
     def __init__(
         self,
@@ -53,7 +64,9 @@
         source: str,
         origin: str,
         wait_ms: int,
+        doubted_digest: str = '',
     ) -> None:
+        self.doubted_digest = doubted_digest
         self.index = index
         self.source = source
         self.origin = origin
--- a/apricotpin/components/relay/service.py
+++ b/apricotpin/components/relay/service.py
@@ -1,19 +1,22 @@
 """Service that caches pieces of weights for agents and other relays."""
 
-import json
 import time
 
 import gevent
 from loguru import logger
 
-from apricotpin.components.relay import const
-from apricotpin.components.relay.events import GetNextFetchJob, PieceFetched
+from apricotpin.components.relay import const, manifests
+from apricotpin.components.relay.events import (
+    GetNextFetchJob,
+    PieceFetched,
+    RetryPiece,
+)
+from apricotpin.components.relay.fetch_queue import FetchQueue
 from apricotpin.components.relay.sources import Sources
 from apricotpin.components.relay.state import CachedVersion, FetchScope
 from apricotpin.components.relay.tasks import fetch_pieces
 from apricotpin.core import Kernel, Reply
 from apricotpin.errors import ErrorKind, Failure
-from apricotpin.helpers.hashing import matches_sha256
 from apricotpin.helpers.metrics import count
 from apricotpin.helpers.pieces import STATUS_OK
 from apricotpin.helpers.stripes import stripe_of
@@ -29,6 +32,7 @@
         '_cache',
         '_declared_versions',
         '_kernel',
+        '_queue',
         '_sources',
         '_started_s',
     )
@@ -41,6 +45,7 @@
     ) -> None:
         self._kernel = kernel
         self._sources = Sources(own_host)
+        self._queue = FetchQueue(kernel, self._sources)
         self._declared_versions: dict[str, int] = {}
         self._cache: dict[tuple[str, int], CachedVersion] = {}
         self._started_s = started_s
@@ -108,10 +113,14 @@
             return
         cached = self.get_or_start(*key)
         if message.index != const.MANIFEST_INDEX:
-            self._widen_scope(
+            self._queue.widen_scope(
                 cached, stripe_of(message.index), FetchScope.ALL_SOURCES
             )
         content = cached.content.get(message.index)
+        if message.doubted_digest and message.index == const.MANIFEST_INDEX:
+            content = self._queue.review_manifest(
+                cached, message.doubted_digest
+            )
         if content is not None:
             reply.ok(ChunkAnswer(STATUS_OK, content))
             return
@@ -155,15 +164,11 @@
         if self._cache.get((cached.model, cached.version)) is not cached:
             reply.err(ErrorKind.VERSION_UNKNOWN, 'superseded')
             return
-        while cached.queue:
-            index = cached.queue.popleft()
-            if index in cached.content:
-                continue
-            job = self._sources.next_job(cached, index)
-            if job is not None:
-                reply.ok(job)
-                return
-        cached.idle_fetchers.append(reply)
+        job = self._queue.next_job(cached)
+        if job is None:
+            cached.idle_fetchers.append(reply)
+        else:
+            reply.ok(job)
 
     def handle_fetched_piece(self, message: PieceFetched, reply: Reply) -> None:
         """Cache an intact piece and reply to the requests that wait for it."""
@@ -175,14 +180,15 @@
                 message.may_wait,
                 message.content.err_value,
             )
-            self._enqueue(cached, index)
+            self._queue.enqueue(cached, index)
             return
         self._sources.record_success(message.source)
         content = message.content.ok_value
-        if not _is_intact(cached, index, content):
+        if not self._is_intact(cached, index, content):
             self._handle_corrupt_piece(message)
             return
         cached.content[index] = content
+        cached.corrupt_counts.pop(index, None)
         kind = 'origin' if message.source == const.ORIGIN else 'peer'
         count(self._kernel, 'chunk_bytes_total', kind, len(content))
         if index == const.MANIFEST_INDEX:
@@ -197,6 +203,21 @@
         for waiter in cached.waiting_replies.pop(index, []):
             waiter.ok(ChunkAnswer(STATUS_OK, content))
 
+    def retry_piece(self, message: RetryPiece, reply: Reply) -> None:
+        """Fetch a piece again that was corrupt."""
+        self._queue.enqueue(message.cached, message.index)
+        reply.ok()
+
+    def _is_intact(
+        self, cached: CachedVersion, index: int, content: bytes
+    ) -> bool:
+        if index != const.MANIFEST_INDEX:
+            return manifests.is_intact(cached, index, content)
+        engine = self._sources.engine_of(cached.model)
+        return manifests.is_readable(content) and manifests.is_confirmed(
+            cached, content, engine
+        )
+
     def _fetch_primary_stripes(
         self,
         target: desired.ModelVersion,
@@ -205,38 +226,27 @@
         """Fetch the stripes that other local hosts fetch from this one."""
         for stripe in self._sources.primary_stripes(target):
             cached = self.get_or_start(target.model, target.version)
-            self._widen_scope(cached, stripe, scope)
+            self._queue.widen_scope(cached, stripe, scope)
 
     def _apply_manifest(self, cached: CachedVersion, content: bytes) -> None:
-        known = bool(cached.digests)
-        cached.digests = json.loads(content)['digests']
-        if not known:
-            self._enqueue_all(cached, cached.missing)
-
-    def _widen_scope(
-        self,
-        cached: CachedVersion,
-        stripe: int,
-        scope: FetchScope,
-    ) -> None:
-        """Fetch a stripe: a requester of one piece needs the others too."""
-        if cached.scope_of(stripe) >= scope:
+        is_first = not cached.digests
+        missing_before = set(cached.missing)
+        if not manifests.replace_manifest(cached, content, time.monotonic()):
             return
-        cached.scopes[stripe] = scope
-        missing = cached.missing
-        self._enqueue_all(
-            cached,
-            [index for index in missing if stripe_of(index) == stripe],
-        )
-
-    def _enqueue_all(self, cached: CachedVersion, indexes: list[int]) -> None:
-        for index in indexes:
-            self._enqueue(cached, index)
+        added = [
+            index for index in cached.missing if index not in missing_before
+        ]
+        self._queue.enqueue_all(cached, added)
+        if not is_first:
+            logger.bind(
+                model=cached.model, version=cached.version, dropped=len(added)
+            ).warning('manifest_replaced')
 
     def _handle_corrupt_piece(self, message: PieceFetched) -> None:
         cached, index = message.cached, message.index
+        is_piece = index != const.MANIFEST_INDEX
         local_only = cached.scope_of(index) is FetchScope.LOCAL_AGENTS
-        if message.source != const.ORIGIN and local_only:
+        if is_piece and message.source != const.ORIGIN and local_only:
             # A corrupt staged piece does not mean that others are corrupt.
             return
         self._sources.back_off(
@@ -246,22 +256,7 @@
                 f'piece {index} does not match its digest (-1: manifest)',
             ),
         )
-        cached.corrupt_counts[index] = cached.corrupt_counts.get(index, 0) + 1
-        if cached.corrupt_counts[index] >= const.CORRUPT_FETCHES_MAX:
-            # The manifest itself may be corrupt.
-            cached.corrupt_counts.clear()
-            cached.content.pop(const.MANIFEST_INDEX, None)
-            self._enqueue(cached, const.MANIFEST_INDEX)
-        self._enqueue(cached, index)
-
-    def _enqueue(self, cached: CachedVersion, index: int) -> None:
-        if not cached.idle_fetchers:
-            if index not in cached.queue:
-                cached.queue.append(index)
-            return
-        job = self._sources.next_job(cached, index)
-        if job is not None:
-            cached.idle_fetchers.pop().ok(job)
+        self._queue.retry_corrupt(cached, index)
 
 
 def _is_evicted(
@@ -274,12 +269,3 @@
         number for name, number in cache if name == model and number > version
     ]
     return len(newer) >= const.VERSIONS_CACHED_MAX
-
-
-def _is_intact(cached: CachedVersion, index: int, content: bytes) -> bool:
-    if index != const.MANIFEST_INDEX:
-        return matches_sha256(content, cached.digests[index])
-    try:
-        return bool(json.loads(content)['digests'])
-    except (ValueError, KeyError, TypeError):
-        return False
--- a/apricotpin/components/relay/sources.py
+++ b/apricotpin/components/relay/sources.py
@@ -10,7 +10,7 @@
 from apricotpin.components.relay.state import CachedVersion, FetchScope
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.stripes import STRIPE_COUNT, source_key, stripe_of
-from apricotpin.messages.desired import DesiredState, ModelVersion
+from apricotpin.messages.desired import DesiredState, Engine, ModelVersion
 from apricotpin.messages.feeds import EntryHost
 from apricotpin.messages.fleet import LoadReport
 
@@ -50,6 +50,10 @@
                 self._origin_data_centre = spec.data_centre
         self._primary_stripes.clear()
 
+    def engine_of(self, model: str) -> Engine | None:
+        """Return what the desired state says of a model, None if nothing."""
+        return self._agents.engine_of(model)
+
     def record_report(
         self,
         report: LoadReport,
@@ -103,7 +107,13 @@
         wait_ms = 0
         if decisions.may_ask_to_wait(sources, source):
             wait_ms = const.FETCH_WAIT_MS
-        return FetchJob(index, source, self._origin, wait_ms)
+        return FetchJob(
+            index,
+            source,
+            self._origin,
+            wait_ms,
+            '' if is_piece else cached.manifest.doubted_digest,
+        )
 
     def record_failure(
         self, source: str, may_wait: bool, failure: Failure
--- a/apricotpin/components/relay/state.py
+++ b/apricotpin/components/relay/state.py
@@ -21,19 +21,50 @@
     ALL_SOURCES = 2
 
 
+class CachedManifest:
+    """Track the manifest of a cached version.
+
+    digest is the SHA-256 of its bytes, empty before the first one, and digests
+    are those of the pieces. is_doubted: it is to be read again, since pieces
+    do not match it. read_s is when it was last read, on the monotonic clock.
+    unconfirmed_digest is that of a manifest that contradicted the desired
+    state.
+    """
+
+    __slots__ = (
+        'digest',
+        'digests',
+        'is_doubted',
+        'read_s',
+        'unconfirmed_digest',
+    )
+
+    def __init__(self) -> None:
+        self.digest = ''
+        self.digests: list[str] = []
+        self.is_doubted = False
+        self.read_s: float = 0
+        self.unconfirmed_digest = ''
+
+    @property
+    def doubted_digest(self) -> str:
+        """Return the digest if the manifest is doubted, else no text."""
+        return self.digest if self.is_doubted else ''
+
+
 class CachedVersion:
     """Track the cached pieces of one version and the fetches of others.
 
     waiting_replies are the requests for a piece that has not arrived, and
     idle_fetchers the fetching tasks that wait for a job. corrupt_counts counts
-    by index the fetches that did not match their digest.
+    by index the fetches in a row that did not match their digest.
     """
 
     __slots__ = (
         'content',
         'corrupt_counts',
-        'digests',
         'idle_fetchers',
+        'manifest',
         'model',
         'queue',
         'scopes',
@@ -48,7 +79,7 @@
         self.started_s = time.monotonic()
         # Content by index; the manifest has index -1.
         self.content: dict[int, bytes] = {}
-        self.digests: list[str] = []
+        self.manifest = CachedManifest()
         # Scope by stripe; stripes without one have the scope MANIFEST.
         self.scopes: dict[int, FetchScope] = {}
         self.queue: deque[int] = deque([const.MANIFEST_INDEX])
@@ -56,6 +87,11 @@
         self.idle_fetchers: list[Reply] = []
         self.corrupt_counts: dict[int, int] = {}
 
+    @property
+    def digests(self) -> list[str]:
+        """Return the digests of the pieces, none before the manifest."""
+        return self.manifest.digests
+
     def scope_of(self, index: int) -> FetchScope:
         """Return the scope of the stripe that a piece belongs to."""
         return self.scopes.get(stripe_of(index), FetchScope.MANIFEST)
--- a/apricotpin/components/relay/tasks.py
+++ b/apricotpin/components/relay/tasks.py
@@ -101,5 +101,6 @@
         str(cached.version),
         job.index,
         job.wait_ms,
+        doubted_digest=job.doubted_digest,
     )
     return fetch_piece(client, job.source, request, const.FETCH_TIMEOUT_S)
--- a/apricotpin/helpers/hashing.py
+++ b/apricotpin/helpers/hashing.py
@@ -13,11 +13,16 @@
     return blake3(content).hexdigest()
 
 
+def sha256_hex(content: bytes) -> str:
+    """Return the SHA-256 digest of content in hexadecimal."""
+    return hashlib.sha256(content).hexdigest()
+
+
 def matches_sha256(content: bytes | None, digest: str) -> bool:
     """Return whether content is not None and has the SHA-256 digest."""
     if content is None:
         return False
-    return hashlib.sha256(content).hexdigest() == digest
+    return sha256_hex(content) == digest
 
 
 def rank_of(*parts: str) -> int:
--- a/apricotpin/messages/weights.py
+++ b/apricotpin/messages/weights.py
@@ -7,9 +7,13 @@
     """Ask for a chunk and wait up to wait_ms for it.
 
     Index -1 requests the manifest, unchanged as the origin sent it.
+    doubted_digest is the SHA-256 of a manifest that pieces do not match; the
+    receiver reads it again from its own source. It is empty without a doubt,
+    and None from hosts of earlier releases.
     """
 
     __slots__ = (
+        'doubted_digest',
         'host_id',
         'index',
         'model',
@@ -24,7 +28,9 @@
         index: int,
         wait_ms: int,
         host_id: str = '',
+        doubted_digest: str | None = '',
     ) -> None:
+        self.doubted_digest = doubted_digest
         self.model = model
         self.version = version
         self.index = index
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -69,6 +69,7 @@
   3: i32 index
   4: i32 wait_ms
   5: string host_id
+  6: string doubted_digest
 }
 
 // status is one of ok, not_yet, blocked, busy and unknown_version.
--- a/script/standins/platform_worker.py
+++ b/script/standins/platform_worker.py
@@ -199,13 +199,24 @@
 
 
 class PlatformOrigin:
-    """Serve manifests and pieces; corrupt the next corrupt_next pieces."""
+    """Serve manifests and pieces.
 
-    __slots__ = ('corrupt_next', 'pieces_sent')
+    The next corrupt_next pieces are corrupt, as are the next corrupt_manifests
+    manifests, in the part that corrupt_part names.
+    """
+
+    __slots__ = (
+        'corrupt_manifests',
+        'corrupt_next',
+        'corrupt_part',
+        'pieces_sent',
+    )
 
     def __init__(self) -> None:
         self.pieces_sent = 0
         self.corrupt_next = 0
+        self.corrupt_manifests = 0
+        self.corrupt_part = ''
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Any:
         """Respond to one request, as a WSGI application."""
@@ -222,6 +233,9 @@
                 'layers': LAYERS,
                 'digests': digests,
             }
+            if self.corrupt_manifests:
+                self.corrupt_manifests -= 1
+                _corrupt_manifest(fields, self.corrupt_part)
             return _respond(start_response, 200, json.dumps(fields).encode())
         self.pieces_sent += 1
         content = piece_of(version, int(query['chunk_count']))
@@ -231,6 +245,18 @@
         return _respond(start_response, 200, content)
 
 
+def _corrupt_manifest(fields: dict[str, Any], part: str) -> None:
+    """Change one part of a manifest, as one wrong byte could."""
+    digests = fields['digests']
+    if part == 'digest of piece 5':
+        first = '1' if digests[5].startswith('0') else '0'
+        digests[5] = first + digests[5][1:]
+    elif part == 'number of layers':
+        fields['layers'] += 80
+    elif part == 'number of pieces':
+        digests.pop()
+
+
 def _respond(
     start_response: Any,
     status: int,
--- a/tests/components/installer/decisions.feature
+++ b/tests/components/installer/decisions.feature
@@ -239,6 +239,37 @@
       | 0-9    | failed    | 20     |
       | 0-63   | failed    | 0      |
 
+  Scenario Outline: a manifest with <wrong>, of which <again> is sent again: complete after <fetches> fetches
+    # No digest covers the manifest. An agent that believed a wrong one for good
+    # would never have a complete version.
+    Given an installer that received a manifest with <wrong>
+    When the installer's entry hosts send intact pieces and <again> on doubt
+    Then the installer has a complete version after <fetches> fetches
+    And the installer doubted the manifest <doubts> times
+    And the installer's pauses after corrupt pieces grow
+
+    Examples:
+      # 65 fetches are needed without a fault.
+      | wrong            | again               | fetches | doubts |
+      | nothing          | the right one       | 65      | 0      |
+      | digest 5         | the right one       | 68      | 1      |
+      | digests 5 and 9  | the right one       | 69      | 1      |
+      | one digest less  | the right one       | never   | 0      |
+      | digest 5         | the same one        | never   | 5      |
+      # One that is wrong elsewhere drops the piece that does not match it.
+      | digest 5         | one with digest 6   | 72      | 2      |
+      | nothing readable | the right one       | 66      | 0      |
+
+  Scenario Outline: a doubted manifest that <fails> is fetched again only after other attempts
+    # The piece may be at fault, and another entry host may have it.
+    Given an installer that received a manifest with digest 5
+    When the installer's entry hosts send intact pieces and a manifest that <fails> on doubt
+    Then the installer asked for piece 5 at least <times> times
+
+    Examples:
+      | fails       | times |
+      | is not sent | 6     |
+
   Scenario: the older version is fetched while the entry host lacks the newer one
     # An idle link shortens the time in which a version can be served.
     Given an installer that has 30 pieces of version 2 when it receives version 3
--- a/tests/components/relay/sources.feature
+++ b/tests/components/relay/sources.feature
@@ -169,3 +169,37 @@
     When the relay receives a report of an agent that holds version 1
     Then the relay's next job fetches the manifest from the origin
     And the relay's next job fetches piece 0 from an agent
+
+  Scenario Outline: a relay whose manifest has <wrong> gets intact pieces: complete after <reads> manifests
+    # Without another manifest the relay would fetch the piece for ever, and so
+    # would each agent that received the manifest from it.
+    Given relays on 1 hosts in each of 1 data centres
+    And the relay has fetched a manifest with <wrong>
+    When the relay's sources send intact pieces and next <sent>
+    Then the relay has a complete version after <reads> manifests
+    And the relay asked at most 3 times for a piece before each manifest
+
+    Examples:
+      | wrong           | sent                    | reads |
+      | nothing         | the right one           | 1     |
+      | digest 5        | the right one           | 2     |
+      | digests 5 and 9 | the right one           | 2     |
+      | digest 5        | digest 6, the right one | 3     |
+      | 96 layers       | the right one           | 2     |
+      | 63 digests      | the right one           | 2     |
+      # What is read twice alike is right: the desired state may be older.
+      | 96 layers       | 96 layers               | 2     |
+
+  Scenario Outline: <after> s after a relay read its manifest, a requester doubts <which>: it is <answer>
+    Given relays on 1 hosts in each of 1 data centres
+    And the relay has fetched a manifest with nothing
+    When a requester of the relay doubts <which>, <after> s later
+    Then the relay's requester <answer>
+
+    Examples:
+      # A requester that doubts again and again must not load the origin.
+      | which         | after | answer                           |
+      | the manifest  | 2     | waits until it is read again     |
+      | the manifest  | 0.5   | receives the manifest at once    |
+      | an older one  | 2     | receives the manifest at once    |
+      | nothing       | 2     | receives the manifest at once    |
--- a/tests/platform/fleet.feature
+++ b/tests/platform/fleet.feature
@@ -66,6 +66,22 @@
     Then platform's new worker has loaded version 1 within 10 s
     And platform's new worker received one order
 
+  Scenario Outline: an empty worker loads the declared version although the <part> is wrong in <count> manifests
+    # No digest covers the manifest: a host that believes it for good never has
+    # a complete version, and after a loss of all workers nothing is served.
+    Given a platform fleet with 1 workers
+    And platform's origin sends <count> manifests in which the <part> is wrong
+    When platform adds an empty worker with its agent
+    Then platform's new worker has loaded version 1 within 10 s
+    And platform's new worker received one order
+
+    Examples:
+      | part              | count |
+      | digest of piece 5 | 1     |
+      | digest of piece 5 | 2     |
+      | number of layers  | 1     |
+      | number of pieces  | 1     |
+
   Scenario: a declared version reaches a worker that serves an older one
     Given a platform fleet with 1 workers
     When platform adds a worker of version 1 with its agent
--- a/tests/steps/installer_steps.py
+++ b/tests/steps/installer_steps.py
@@ -401,11 +401,7 @@
     return waiter.get().ok_value
 
 
-@given(
-    'an installer that has {count:d} pieces of version 2 '
-    'when it receives version 3'
-)
-def receives_newer(context, count):
+def _new_installer():
     settings = types.SimpleNamespace(
         service='drafting',
         data_centre='a',
@@ -414,7 +410,15 @@
         is_first_start=False,
         limits=types.SimpleNamespace(version_limit_s=8),
     )
-    installer = InstallerService(Kernel('agent'), settings)
+    return InstallerService(Kernel('agent'), settings)
+
+
+@given(
+    'an installer that has {count:d} pieces of version 2 '
+    'when it receives version 3'
+)
+def receives_newer(context, count):
+    installer = _new_installer()
     _send_hello(installer, 2)
     job = _next_fetch_job(installer)
     pieces = [f'{number}'.encode() for number in range(64)]
@@ -617,3 +621,97 @@
 def check_pause(context, pause):
     found = round(context.pause_s * 1000)
     assert found == round(pause * 1000), found
+
+
+_MANIFEST_PIECES = [f'{number}'.encode() for number in range(64)]
+_FETCHES_MAX = 80
+
+
+def _manifest(wrong):
+    """Return a manifest in which the named digests are wrong."""
+    digests = [hashlib.sha256(one).hexdigest() for one in _MANIFEST_PIECES]
+    wrong_indexes = [int(word) for word in wrong.split() if word.isdigit()]
+    for index in wrong_indexes:
+        digests[index] = hashlib.sha256(b'another').hexdigest()
+    if wrong == 'one digest less':
+        digests.pop()
+    if wrong == 'nothing readable':
+        return b'{"layers": 16, "digests": ['
+    return json.dumps({'layers': 16, 'digests': digests}).encode()
+
+
+@given('an installer that received a manifest with {wrong}')
+def received_manifest(context, wrong):
+    context.installer = _new_installer()
+    _send_hello(context.installer, 2)
+    context.manifests = [_manifest(wrong)]
+
+
+def _fetch_again(context, second):
+    """Reply to the fetch jobs of the installer until it has a version."""
+    context.pauses = []
+    context.asked = []
+    context.doubted = 0
+    context.all_asked = context.asked
+    for _ in range(_FETCHES_MAX):
+        job = _next_fetch_job(context.installer)
+        pieces = job.install.pieces
+        context.asked.append(job.index)
+        if job.index >= 0:
+            content = Ok(_MANIFEST_PIECES[job.index])
+        elif job.doubted_digest or len(context.asked) > 1:
+            context.doubted += bool(job.doubted_digest)
+            content = second.pop(0) if len(second) > 1 else second[0]
+        else:
+            content = Ok(context.manifests[0])
+        waiter = AsyncResult()
+        fetched = events.PieceFetched(job, job.addresses[0], content)
+        context.installer.handle_fetched_piece(fetched, Reply(waiter))
+        context.pauses.append(waiter.get().ok_value)
+        if pieces.is_complete and len(pieces.digests) == 64:
+            return
+        if pieces.is_complete:
+            break
+        # The installer asks another time after a failure.
+        pieces.transfer.retry_at_s = 0
+    context.asked = None
+
+
+@when("the installer's entry hosts send intact pieces and {again} on doubt")
+def send_pieces(context, again):
+    wrong = {
+        'the right one': 'nothing',
+        'the same one': 'digest 5',
+        'one with digest 6': 'digest 6',
+    }
+    if again == 'a manifest that is not sent':
+        second = Err(Failure(ErrorKind.CHUNK_NOT_YET, ''))
+        _fetch_again(context, [second])
+        return
+    sent = [Ok(_manifest(wrong[again]))]
+    if again == 'one with digest 6':
+        sent.append(Ok(_manifest('nothing')))
+    _fetch_again(context, sent)
+
+
+@then('the installer has a complete version after {fetches} fetches')
+def complete_after(context, fetches):
+    found = 'never' if context.asked is None else str(len(context.asked))
+    assert found == fetches, found
+
+
+@then('the installer doubted the manifest {doubts:d} times')
+def doubted_times(context, doubts):
+    assert context.doubted == doubts, context.doubted
+
+
+@then("the installer's pauses after corrupt pieces grow")
+def pauses_grow(context):
+    in_row = [count for count in context.pauses if count]
+    assert in_row == sorted(in_row), in_row
+
+
+@then('the installer asked for piece 5 at least {times:d} times')
+def asked_for_piece(context, times):
+    found = context.all_asked.count(5)
+    assert found >= times, found
--- a/tests/steps/platform_fleet_steps.py
+++ b/tests/steps/platform_fleet_steps.py
@@ -52,6 +52,14 @@
     context.fleet.origin.corrupt_next = count
 
 
+@given(
+    "platform's origin sends {count:d} manifests in which the {part} is wrong"
+)
+def corrupt_manifests(context, count, part):
+    context.fleet.origin.corrupt_part = part
+    context.fleet.origin.corrupt_manifests = count
+
+
 @when("platform's next requests reach a worker that {fault}")
 def set_fault(context, fault):
     if fault == 'responds':
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -1,5 +1,6 @@
 """Steps for the sources from which an entry host fetches weights."""
 
+import hashlib
 import json
 import time
 from collections import Counter
@@ -198,7 +199,7 @@
 
 
 def _spec():
-    engine = desired.Engine('m', 16, 16, 4, 8, 1.0)
+    engine = desired.Engine('m', 16, 16, _PIECES, 8, 1.0)
     return desired.ServiceSpec('drafting', 10, engine)
 
 
@@ -363,3 +364,118 @@
 def piece_from_agent(context, index):
     _, job = _next_job(context)
     assert (job.index, job.source) == (index, '10.9.0.1:7700')
+
+
+_CONTENT = [f'{number}'.encode() for number in range(_PIECES)]
+_FETCHES_MAX = 120
+
+
+def _manifest(wrong):
+    """Return a manifest in which the named part is wrong."""
+    digests = [hashlib.sha256(one).hexdigest() for one in _CONTENT]
+    fields = {'layers': 16, 'digests': digests}
+    words = wrong.split()
+    if words[0] in {'digest', 'digests'}:
+        for word in words[1:]:
+            if word.isdigit():
+                digests[int(word)] = 'wrong'
+    elif words[-1] == 'layers':
+        fields['layers'] = int(words[0])
+    elif words[-1] == 'digests':
+        digests.pop()
+    return json.dumps(fields).encode()
+
+
+def _fetch_job(context):
+    waiter = AsyncResult()
+    context.relay.assign_job(
+        events.GetNextFetchJob(context.cached), Reply(waiter)
+    )
+    if not waiter.ready():
+        # The pause before a piece is fetched again is over.
+        for index in context.cached.missing:
+            retry = events.RetryPiece(context.cached, index)
+            context.relay.retry_piece(retry, Reply())
+    return waiter.get(timeout=1).ok_value
+
+
+def _deliver(context, job, content):
+    fetched = events.PieceFetched(context.cached, job.index, '', Ok(content))
+    context.relay.handle_fetched_piece(fetched, Reply())
+
+
+@given('the relay has fetched a manifest with {wrong}')
+def has_manifest(context, wrong):
+    own = context.hosts[0]
+    context.relay = RelayService(Kernel('entry'), own, time.monotonic())
+    context.relay.apply_state(desired.DesiredStateChanged(_state()), Reply())
+    for index in range(_PIECES):
+        request = FetchChunk('m', '1', index, 100)
+        context.relay.fetch_chunk(request, Reply())
+    context.cached = context.relay.get_or_start('m', 1)
+    context.asked = Counter()
+    context.most_asked = 0
+    _deliver(context, _fetch_job(context), _manifest(wrong))
+    context.manifests = 1
+
+
+def _is_complete(cached):
+    return len(cached.content) == _PIECES + 1 and not cached.missing
+
+
+@when("the relay's sources send intact pieces and next {sent}")
+def send_intact(context, sent):
+    following = sent.split(', ')
+    for _ in range(_FETCHES_MAX):
+        if _is_complete(context.cached):
+            return
+        job = _fetch_job(context)
+        if job.index >= 0:
+            context.asked[job.index] += 1
+            context.most_asked = max(context.asked.values())
+            _deliver(context, job, _CONTENT[job.index])
+            continue
+        context.asked.clear()
+        context.manifests += 1
+        wrong = following.pop(0) if len(following) > 1 else following[0]
+        wrong = 'nothing' if wrong == 'the right one' else wrong
+        _deliver(context, job, _manifest(wrong))
+
+
+@then('the relay has a complete version after {reads:d} manifests')
+def complete_after(context, reads):
+    assert _is_complete(context.cached), context.cached.missing
+    assert context.manifests == reads, context.manifests
+
+
+@then(
+    'the relay asked at most {times:d} times for a piece before each manifest'
+)
+def asked_at_most(context, times):
+    assert context.most_asked <= times, context.asked
+
+
+@when('a requester of the relay doubts {which}, {after:g} s later')
+def doubt_manifest(context, which, after):
+    context.cached.manifest.read_s -= after
+    digest = {
+        'the manifest': context.cached.manifest.digest,
+        'an older one': hashlib.sha256(b'').hexdigest(),
+        'nothing': '',
+    }[which]
+    request = FetchChunk('m', '1', -1, 100, doubted_digest=digest)
+    context.waiter = AsyncResult()
+    context.relay.fetch_chunk(request, Reply(context.waiter))
+
+
+@then("the relay's requester {answer}")
+def requester_gets(context, answer):
+    manifest = _manifest('nothing')
+    is_asked = context.cached.manifest.is_doubted
+    assert is_asked == (answer == 'waits until it is read again')
+    if is_asked:
+        assert not context.waiter.ready()
+        job = events.FetchJob(-1, '', '', 0)
+        _deliver(context, job, manifest)
+    found = context.waiter.get(timeout=1).ok_value
+    assert (found.status, found.data) == ('ok', manifest), found.status
