Read staged pieces of a worker three at a time

What callers would have seen: a worker loaded 6 s late. The check before a load order read 64 pieces one after the other. With a worker whose responses take 44 ms, as our stand-in's do (head and body in two packets), that took 2.8 s, right at the limit for a load order, so that two checks were made in vain and the layers loaded in parts.

Evidence: fleet.feature, digest wrong in two manifests, missed its 10 s with this (30 passed, 1 failed); the log has check_overlong with 2,817 and 2,815 ms.

Change: three reads at a time; one of the four connections is left for those who fetch pieces from this host. The check took 0.9 s in the same scenario, and fleet.feature passed (31 passed).

--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -77,6 +77,10 @@
 # A check that took longer than that permits a load order for this time after
 # its end, unless it started longer ago than ORDER_AGE_MAX_S.
 ORDER_AFTER_CHECK_MAX_S: Final = 0.3
+# Staged pieces that are read at a time. A check has to end before its first
+# piece may have changed; one connection to the worker is left for agents and
+# entry hosts that fetch pieces from this host.
+PARALLEL_READS: Final = 3
 # No load order is sent if its check started longer ago than this. The rest of
 # the 3 s is left for the order to reach the worker.
 ORDER_AGE_MAX_S: Final = 2.8
--- a/apricotpin/components/installer/tasks.py
+++ b/apricotpin/components/installer/tasks.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 import gevent
+from gevent.pool import Pool
 from loguru import logger
 from result import Result
 
@@ -154,14 +155,20 @@
 def _read_staged(
     kernel: Kernel, job: LoadJob, indexes: Iterable[int]
 ) -> LoadJobDone:
-    found = {}
-    for index in indexes:
-        read = kernel.call(
+    """Return the staged pieces, of those given, that match the manifest."""
+
+    def read_piece(index: int) -> Result[bytes | None, Failure]:
+        return kernel.call(
             SERVICE_ENGINE,
             ReadStagedPiece(job.install.model, index),
             const.CALL_TIMEOUT_S,
         )
+
+    found = {}
+    pool = Pool(const.PARALLEL_READS)
+    for index, read in zip(indexes, pool.imap(read_piece, indexes)):
         if read.is_err():
+            pool.kill()
             return LoadJobDone(job, False, {})
         if matches_sha256(read.ok_value, job.digests[index]):
             found[index] = read.ok_value
