Limit what endless bytes of workers cost other requests

Asked for by other operators: a worker sent bytes that were no response, without end; the machine that had called it ran out of memory, and the requests of other callers ended with it.

Here the memory did not run out: 120 and 400 requests at once to workers that send endless bytes took 150 MB at most of the 300 MB (unframed body; the limits of bodies, events and heads held). But other requests suffered: beside 120 endless events or short headers a small request took up to 4.0 s.

Cause: three things cost far more processor time or memory than their bytes. The start of an event was searched for its end from the beginning with each part of it. Heads were limited by bytes, but 64 KiB hold thousands of short headers, and trailers were not limited at all. And each task parsed up to 64 KiB before the others had their turn. Incomplete events also held up to 1 MB each without a reservation.

Change: only new bytes are searched, in the splitters of both front ends; at most 256 headers, trailers and interim responses are read of one response; 16 KiB are parsed at a time; an incomplete event over 64 KiB reserves memory as bodies do, and bodies do so from 64 KiB on in place of 256.

Rows of exchange.feature: endless trailers now end as truncated at once; they ended as silent at their time-out. That is the stricter of the two, and the time-out is still tested by the row of slow trailers.

--- a/apricotpin/components/frontend/events.py
+++ b/apricotpin/components/frontend/events.py
@@ -8,6 +8,7 @@
 from apricotpin.errors import Failure
 
 _BOUNDARY: Final = re.compile(rb'\r?\n\r?\n')
+_BOUNDARY_MAX_BYTES: Final = 4
 _DONE: Final = b'[DONE]'
 _FIELD_SEPARATOR: Final = b':'
 
@@ -64,12 +65,18 @@
     __slots__ = ('_pending',)
 
     def __init__(self) -> None:
-        self._pending = b''
+        self._pending = bytearray()
 
     def feed(self, part: bytes) -> list[Event]:
         """Buffer received bytes and return the events that they complete."""
-        blocks = _BOUNDARY.split(self._pending + part)
-        self._pending = blocks.pop()
+        # Only the last bytes of what was buffered before may be part of a
+        # boundary: an event of many parts must not be searched again for each.
+        start = max(0, len(self._pending) - _BOUNDARY_MAX_BYTES + 1)
+        self._pending += part
+        if _BOUNDARY.search(self._pending, start) is None:
+            return []
+        blocks = _BOUNDARY.split(bytes(self._pending))
+        self._pending = bytearray(blocks.pop())
         return [Event.parse(block) for block in blocks if block]
 
     @property
--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -97,7 +97,7 @@
         if not part.ok_value:
             return bodies.check_stream_end(attempt)
         complete = splitter.feed(part.ok_value)
-        if splitter.pending_bytes > const.EVENT_MAX_BYTES:
+        if not bodies.may_hold_event(context, splitter.pending_bytes):
             return Err(Verdict.TOO_LARGE)
         if complete:
             prompts.report_served(context, attempt)
--- a/apricotpin/components/gateway/bodies.py
+++ b/apricotpin/components/gateway/bodies.py
@@ -34,6 +34,13 @@
             return Err(Verdict.TOO_LARGE)
 
 
+def may_hold_event(context: RequestContext, size_bytes: int) -> bool:
+    """Return whether the start of an event may be held until its rest."""
+    return size_bytes <= const.EVENT_MAX_BYTES and _reserve_memory(
+        context, size_bytes
+    )
+
+
 def check_stream_end(attempt: Attempt) -> Result[bytes, Verdict]:
     """Return empty bytes if a stream that has ended is whole.
 
@@ -62,6 +69,7 @@
 
 
 def _reserve_memory(context: RequestContext, size_bytes: int) -> bool:
+    """Return whether a request may hold this many bytes of its response."""
     if size_bytes > const.RESPONSE_BODY_MAX_BYTES:
         return False
     if size_bytes <= max(
--- a/apricotpin/components/gateway/const.py
+++ b/apricotpin/components/gateway/const.py
@@ -14,11 +14,12 @@
 # A caller that reads nothing for this long counts as disconnected.
 WRITE_TIMEOUT_S: Final = 10.0
 RESPONSE_BODY_MAX_BYTES: Final = 8388608
-# Response bodies up to RESPONSE_UNRESERVED_MAX_BYTES need no reservation.
-# Larger ones reserve memory in steps of RESPONSE_MEMORY_STEP_BYTES. All of them
-# together may reserve RESPONSE_MEMORY_MAX_BYTES, since the smallest entry hosts
-# have 200 MB of memory.
-RESPONSE_UNRESERVED_MAX_BYTES: Final = 262144
+# Response bodies and incomplete events up to RESPONSE_UNRESERVED_MAX_BYTES need
+# no reservation. Larger ones reserve memory in steps of
+# RESPONSE_MEMORY_STEP_BYTES. All of them together may reserve
+# RESPONSE_MEMORY_MAX_BYTES, since the smallest entry hosts have 200 MB of
+# memory.
+RESPONSE_UNRESERVED_MAX_BYTES: Final = 65536
 RESPONSE_MEMORY_STEP_BYTES: Final = 1048576
 RESPONSE_MEMORY_MAX_BYTES: Final = 50331648
 EVENT_MAX_BYTES: Final = 1048576
--- a/apricotpin/helpers/exchange.py
+++ b/apricotpin/helpers/exchange.py
@@ -13,7 +13,9 @@
 from apricotpin.helpers.sockets import set_liveness_options
 
 CONNECT_TIMEOUT_S: Final = 1.0
-RECEIVE_BYTES: Final = 65536
+# All tasks with bytes to read run in turn. Short chunks are slow to parse, so
+# that more bytes at a time would delay other requests.
+RECEIVE_BYTES: Final = 16384
 _HEAD_END: Final = b'\r\n\r\n'
 # After sleep(0) gevent may resume the same greenlets many times before it
 # polls sockets and timers. A sleep of 1 ms, the shortest that epoll supports,
--- a/apricotpin/helpers/response_parser.py
+++ b/apricotpin/helpers/response_parser.py
@@ -7,6 +7,9 @@
 
 # More than the head of a response of any known upstream.
 RESPONSE_HEAD_MAX_BYTES: Final = 65536
+# Many short headers or trailers take far more memory and processor time than
+# their bytes suggest, so a limit of bytes alone would not be enough.
+RESPONSE_HEADERS_MAX: Final = 256
 
 _BODILESS: Final = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
@@ -24,6 +27,8 @@
         self.is_malformed = False
         self._body_bytes = bytearray()
         self._head_bytes = 0
+        # Headers, trailers and interim responses received so far.
+        self._head_parts = 0
 
     def parse(self, received: bytes) -> None:
         """Parse received bytes; an empty value marks the end of the stream."""
@@ -100,6 +105,7 @@
     def _on_header_field(self, string: str) -> None:
         # Trailers are discarded: nothing reads them, and their number is not
         # limited.
+        self._count_head_part()
         if not self.head_complete:
             super()._on_header_field(string)
 
@@ -111,8 +117,16 @@
         if self.message_complete and self.head_complete:
             self.has_surplus = True
             raise ValueError('further bytes follow the response')
+        self._count_head_part()
         super()._on_message_begin()
 
+    def _count_head_part(self) -> None:
+        self._head_parts += 1
+        if self._head_parts > RESPONSE_HEADERS_MAX:
+            raise ValueError(
+                f'the response has over {RESPONSE_HEADERS_MAX} headers'
+            )
+
     @property
     def _framed(self) -> bool:
         if self.method == 'HEAD' or self.get_code() in _BODILESS:
--- a/tests/helpers/exchange.feature
+++ b/tests/helpers/exchange.feature
@@ -25,7 +25,7 @@
       # These bytes are not part of the body, so its size limit does not apply.
       | zeros in a chunk length | silent              | 1     |
       | chunk extension         | silent              | 1     |
-      | trailers                | silent              | 1     |
+      | trailers                | truncated           | 1     |
       | trailer                 | silent              | 1     |
 
   Scenario Outline: a response with endless <part> sent slowly is silent
