Judge a response's head by itself, however its bytes are divided

What callers could have seen: a request that a worker refused as not run was answered with 502 in place of being sent to another worker, if invalid bytes followed the head of the refusal in the same packet.

Cause: an invalid part of a body made the parser reject all that was received with it, and read_head() returned that failure although the head was complete. In two packets the same bytes gave the head first.

Change: read_head() fails only if the head is incomplete, and the body then fails without another read.

--- a/apricotpin/helpers/exchange.py
+++ b/apricotpin/helpers/exchange.py
@@ -124,7 +124,9 @@
         deadline_s = self.silence_deadline_s()
         while not self.parser.head_complete:
             failed = self._receive(Verdict.RESET, deadline_s)
-            if failed:
+            # What follows a complete head does not change it, whether it
+            # arrives with the head or later.
+            if failed and not self.parser.head_complete:
                 return failed
         return None
 
@@ -169,6 +171,8 @@
         )
         part = self.parser.pop_body()
         while not part and not self.parser.message_complete:
+            if self.parser.is_malformed:
+                return Err(Verdict.TRUNCATED)
             failed = self._receive(Verdict.TRUNCATED, deadline_s)
             if failed:
                 return Err(failed)
--- a/tests/helpers/exchange.feature
+++ b/tests/helpers/exchange.feature
@@ -73,3 +73,19 @@
       | 503, keep-alive   | 4096 | 64     | in part | closed |
       | 200, keep-alive   | 4096 | 64     | in part | closed |
       | 503, close        | 1    | 64     | whole   | closed |
+
+  Scenario Outline: a response whose <part> is invalid, sent <when> its head, ends as <verdict>
+    # The verdict must not depend on how the bytes were divided into packets: a
+    # head that states that the request was not run would be lost.
+    Given exchange with a peer that sends an invalid <part> <when> its head
+    When exchange reads it with a silence time-out of 0.4 s and a deadline of 2 s
+    Then exchange ends as <verdict> within 1 s
+    And exchange has read the status <status>
+
+    Examples:
+      | part     | when  | verdict             | status |
+      | chunk    | with  | truncated           | 503    |
+      | chunk    | after | truncated           | 503    |
+      | trailers | with  | truncated           | 503    |
+      | trailers | after | truncated           | 503    |
+      | header   | with  | reset_before_answer | 0      |
--- a/tests/steps/exchange_steps.py
+++ b/tests/steps/exchange_steps.py
@@ -20,6 +20,7 @@
 # Far less than the time for which the bytes are sent.
 _PAUSE_MAX_S = 0.2
 _SLOW_PAUSE_S = 0.1
+_READ_PAUSE_S = 0.3
 _OK = b'HTTP/1.1 200 OK\r\n'
 _CHUNKED = _OK + b'Transfer-Encoding: chunked\r\n\r\n'
 ENDLESS = {
@@ -78,6 +79,58 @@
     start_sender(context, part, _SLOW_PAUSE_S)
 
 
+_INVALID = {
+    'chunk': b'not a length\r\n',
+    'trailers': b'0\r\n' + b'X-Name: text\r\n' * 1000,
+    'header': b'no header\r\n\r\n',
+}
+_REFUSED = b'HTTP/1.1 503 Full\r\nTransfer-Encoding: chunked\r\n'
+
+
+class InvalidResponder:
+    """Send an invalid response with its head or a moment later."""
+
+    def __init__(self, part, is_together):
+        self._listener = open_port()
+        host, port = self._listener.getsockname()
+        self.address = f'{host}:{port}'
+        self._invalid = _INVALID[part]
+        head_end = b'' if part == 'header' else b'\r\n'
+        self._head = _REFUSED + head_end
+        self._is_together = is_together
+        self._greenlet = spawn(self._serve)
+
+    def close(self):
+        """Close the listener."""
+        self._greenlet.kill()
+        self._listener.close()
+
+    def _serve(self):
+        connection, _ = self._listener.accept()
+        connection.recv(_BYTES_PER_KB)
+        if self._is_together:
+            connection.sendall(self._head + self._invalid)
+        else:
+            connection.sendall(self._head)
+            sleep(_SLOW_PAUSE_S)
+            connection.sendall(self._invalid)
+        sleep(_READ_PAUSE_S)
+        connection.close()
+
+
+@given('exchange with a peer that sends an invalid {part} {moment} its head')
+def start_invalid_responder(context, part, moment):
+    context.sender = InvalidResponder(part, moment == 'with')
+    context.cleanups = [context.sender.close]
+
+
+@then('exchange has read the status {status:d}')
+def check_status(context, status):
+    parser = context.exchange.parser
+    found = parser.get_code() if parser.head_complete else 0
+    assert found == status, found
+
+
 @when(
     'exchange reads it with a silence time-out of {silent_s:g} s '
     'and a deadline of {deadline_s:g} s'
@@ -86,6 +139,7 @@
     until_s = time.monotonic() + deadline_s
     connection = connect(context.sender.address, until_s)
     exchange = Exchange(connection, 'GET', silent_s, until_s)
+    context.exchange = exchange
     context.monitor = GreenletMonitor()
     began_s = time.monotonic()
     tracemalloc.start()
