Count suspensions within a check of staged pieces

Cause: a suspension discards the last check, and it is noticed with the next message. One within a check was noticed by a report before the check ended, and the check was then recorded with its start on the monotonic clock, which stands still in a suspension.

Evidence: the new row of decisions.feature, a suspension of 4 s during a check, failed before: the check counted as 0.0007 s old (131 passed, 1 failed).

Change: steps start on the boot-time clock, and the age of a check is what has passed on that. 132 passed.

--- a/apricotpin/components/installer/events.py
+++ b/apricotpin/components/installer/events.py
@@ -89,8 +89,8 @@
 
     part is the layers that a check or a load order concerns. pieces maps the
     indexes of the pieces to copy to their content. started_s is when the step
-    was assigned, on the monotonic clock. A load order is not sent after
-    send_by_s, on the boot-time clock.
+    was assigned, and a load order is not sent after send_by_s, both on the
+    boot-time clock.
     """
 
     __slots__ = (
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -151,10 +151,10 @@
                 install,
                 step,
                 message.job.part,
-                message.job.started_s,
+                now_s - _elapsed_s(message.job),
                 now_s,
             )
-            _log_if_overlong(message.job, now_s)
+            _log_if_overlong(message.job)
         reply.ok()
         self._assign_jobs()
 
@@ -332,8 +332,13 @@
         ).info('pieces_complete')
 
 
-def _log_if_overlong(job: LoadJob, now_s: float) -> None:
-    took_s = now_s - job.started_s
+def _elapsed_s(job: LoadJob) -> float:
+    """Return how long a step has taken, including suspensions of the host."""
+    return clocks.boot_time_s() - job.started_s
+
+
+def _log_if_overlong(job: LoadJob) -> None:
+    took_s = _elapsed_s(job)
     if job.step is decisions.LoadStep.CHECK and took_s > const.ORDER_AGE_MAX_S:
         logger.bind(
             version=job.install.version,
@@ -353,15 +358,15 @@
     pieces: dict[int, bytes] = {}
     if step is decisions.LoadStep.STAGE:
         pieces = {
-            index: content[index]
-            for index in content
+            index: piece
+            for index, piece in content.items()
             if index not in install.pieces.staged
         }
     elif step is decisions.LoadStep.CHECK:
         indexes = checks.piece_indexes(install.pieces, part)
         pieces = {index: content[index] for index in indexes}
-    job = LoadJob(step, install, part, pieces, now_s)
+    job = LoadJob(step, install, part, pieces, clocks.boot_time_s())
     if step is decisions.LoadStep.START:
         left_s = checks.order_time_left_s(install.pieces.check, now_s)
-        job.send_by_s = clocks.boot_time_s() + left_s
+        job.send_by_s = job.started_s + left_s
     return job
--- a/tests/components/installer/decisions.feature
+++ b/tests/components/installer/decisions.feature
@@ -225,6 +225,18 @@
       | 0         | checked   |
       | 2         | unchecked |
 
+  Scenario Outline: after a suspension of <suspended> s <when> a check, the age of the check is <age> s
+    # The monotonic clock stands still in a suspension, and pieces that were read
+    # before it may have become corrupt.
+    Given an installer that has 30 pieces of version 2 when it receives version 3
+    When the installer's host is suspended for <suspended> s <when> a check
+    Then the installer counts the check as <age> s old
+
+    Examples:
+      | suspended | when   | age |
+      | 0         | during | 0   |
+      | 4         | during | 4   |
+
   Scenario Outline: copying pieces <copied> of version 3 <ends>: <staged> of 30 pieces of version 2 count as staged
     # A copy that failed may have overwritten staged pieces of the other version,
     # with which the worker would then be loaded.
--- a/tests/steps/installer_steps.py
+++ b/tests/steps/installer_steps.py
@@ -15,13 +15,13 @@
     checks,
     decisions,
     events,
+    service,
     sharing,
     switching,
     tasks,
     versions,
 )
 from apricotpin.components.installer.const import NOT_YET_RETRY_DELAY_S
-from apricotpin.components.installer.service import InstallerService
 from apricotpin.components.installer.state import (
     Install,
     VersionPieces,
@@ -30,6 +30,7 @@
 from apricotpin.components.relay import tasks as relay_tasks
 from apricotpin.core import Kernel, Reply
 from apricotpin.errors import ErrorKind, Failure
+from apricotpin.helpers import clocks
 from apricotpin.messages.fleet import EntryHello, WeightsTarget
 from apricotpin.messages.pieces import LayerRange, WorkerReport
 from apricotpin.messages.upstreams import LoadedLayers
@@ -410,7 +411,7 @@
         is_first_start=False,
         limits=types.SimpleNamespace(version_limit_s=8),
     )
-    return InstallerService(Kernel('agent'), settings)
+    return service.InstallerService(Kernel('agent'), settings)
 
 
 @given(
@@ -473,6 +474,30 @@
     assert found == staged, found
 
 
+@when("the installer's host is suspended for {suspended:g} s during a check")
+def suspended_during(context, suspended):
+    context.install = _install(2, len(_PIECES))
+    job = service._build_load_job(
+        context.install,
+        decisions.LoadStep.CHECK,
+        WorkerState(),
+        time.monotonic(),
+    )
+    boot_time_s = clocks.boot_time_s
+    clocks.boot_time_s = lambda: boot_time_s() + suspended
+    context.cleanups = [lambda: setattr(clocks, 'boot_time_s', boot_time_s)]
+    # The suspension is noticed before the check ends.
+    _send_hello(context.installer, 3)
+    done = events.LoadJobDone(job, True, {})
+    context.installer.handle_load_job_done(done, Reply())
+
+
+@then('the installer counts the check as {age:g} s old')
+def check_is_old(context, age):
+    found = time.monotonic() - context.install.pieces.check.started_s
+    assert round(found) == age, found
+
+
 @then("the installer's staged pieces count as {checked}")
 def staged_count_as(context, checked):
     found = context.install.pieces.check.started_s is not None
