--- a/apricotpin/components/relay/manifests.py
+++ b/apricotpin/components/relay/manifests.py
@@ -22,10 +22,10 @@
     return has_layers and isinstance(digests, list) and bool(digests)
 
 
-def is_confirmed(
+def confirm_manifest(
     cached: CachedVersion, content: bytes, engine: Engine | None
 ) -> bool:
-    """Return whether a readable manifest may be used.
+    """Return whether a readable manifest may be used; remember it if not.
 
     No digest covers the manifest itself. One that contradicts the desired
     state is used only if it is read twice alike.
--- a/apricotpin/components/relay/service.py
+++ b/apricotpin/components/relay/service.py
@@ -214,7 +214,7 @@
         if index != const.MANIFEST_INDEX:
             return manifests.is_intact(cached, index, content)
         engine = self._sources.engine_of(cached.model)
-        return manifests.is_readable(content) and manifests.is_confirmed(
+        return manifests.is_readable(content) and manifests.confirm_manifest(
             cached, content, engine
         )
 
--- a/apricotpin/helpers/response_parser.py
+++ b/apricotpin/helpers/response_parser.py
@@ -103,8 +103,7 @@
         self._body_bytes += buf
 
     def _on_header_field(self, string: str) -> None:
-        # Trailers are discarded: nothing reads them, and their number is not
-        # limited.
+        # Trailers are counted but not kept, since nothing reads them.
         self._count_head_part()
         if not self.head_complete:
             super()._on_header_field(string)
