--- a/apricotpin/components/frontend/events.py
+++ b/apricotpin/components/frontend/events.py
@@ -1,14 +1,12 @@
 """Parser for the server-sent events of a stream."""
 
 import json
-import re
 from typing import Any, Final
 
 from apricotpin.components.frontend.const import EVENT_MAX_BYTES
 from apricotpin.errors import Failure
+from apricotpin.helpers.event_buffer import EVENT_END, EventBuffer
 
-_BOUNDARY: Final = re.compile(rb'\r?\n\r?\n')
-_BOUNDARY_MAX_BYTES: Final = 4
 _DONE: Final = b'[DONE]'
 _FIELD_SEPARATOR: Final = b':'
 
@@ -60,29 +58,22 @@
 
 
 class EventSplitter:
-    """Buffer the start of an event until the rest of it arrives."""
+    """Parse the complete events of a stream."""
 
-    __slots__ = ('_pending',)
+    __slots__ = ('_buffer',)
 
     def __init__(self) -> None:
-        self._pending = bytearray()
+        self._buffer = EventBuffer()
 
     def feed(self, part: bytes) -> list[Event]:
         """Buffer received bytes and return the events that they complete."""
-        # Only the last bytes of what was buffered before may be part of a
-        # boundary: an event of many parts must not be searched again for each.
-        start = max(0, len(self._pending) - _BOUNDARY_MAX_BYTES + 1)
-        self._pending += part
-        if _BOUNDARY.search(self._pending, start) is None:
-            return []
-        blocks = _BOUNDARY.split(bytes(self._pending))
-        self._pending = bytearray(blocks.pop())
+        blocks = EVENT_END.split(self._buffer.feed(part))
         return [Event.parse(block) for block in blocks if block]
 
     @property
     def exceeds_limit(self) -> bool:
         """Return whether the buffered event exceeds EVENT_MAX_BYTES."""
-        return len(self._pending) > EVENT_MAX_BYTES
+        return self._buffer.pending_bytes > EVENT_MAX_BYTES
 
 
 def encode_error(document: dict[str, Any]) -> bytes:
