Compare a piece with its digest in one place, and copy no digests to a dict

The agent, its replacement of a manifest and the relay each had the same check that an index lies within the digests and matches. A load job had a dictionary of all digests where the tuple before it serves as well, and the choice of the next piece looked at all missing ones although no piece was corrupt. Same choices, same rows; they pass.

--- a/apricotpin/components/installer/decisions.py
+++ b/apricotpin/components/installer/decisions.py
@@ -12,7 +12,7 @@
     may_switch,
 )
 from apricotpin.errors import ErrorKind, Failure
-from apricotpin.helpers.hashing import matches_sha256
+from apricotpin.helpers.hashing import matches_digest_of
 from apricotpin.host_settings import HostSettings
 from apricotpin.messages.fleet import LoadReport
 from apricotpin.messages.pieces import LayerRange, WorkerReport
@@ -76,8 +76,10 @@
         for index, _ in enumerate(install.pieces.digests)
         if index not in excluded
     )
-    # Corrupt pieces come last, so that they do not delay the others.
     corrupt_counts = install.pieces.manifest.corrupt_counts
+    if not corrupt_counts:
+        return next(missing, None)
+    # Corrupt pieces come last, so that they do not delay the others.
     return min(
         missing,
         key=lambda index: (corrupt_counts.get(index, 0), index),
@@ -124,8 +126,7 @@
 
 def is_intact(install: Install, index: int, content: bytes | None) -> bool:
     """Return whether content matches the piece's digest in the manifest."""
-    digests = install.pieces.digests
-    return index < len(digests) and matches_sha256(content, digests[index])
+    return matches_digest_of(index, content, install.pieces.digests)
 
 
 def next_step(install: Install, worker: WorkerState, now_s: float) -> LoadStep:
--- a/apricotpin/components/installer/events.py
+++ b/apricotpin/components/installer/events.py
@@ -115,7 +115,7 @@
         self.started_s = started_s
         self.install = install
         self.part = part
-        self.digests = dict(enumerate(install.pieces.digests))
+        self.digests = tuple(install.pieces.digests)
         self.pieces = pieces
         self.send_by_s: float = 0
 
--- a/apricotpin/components/installer/manifests.py
+++ b/apricotpin/components/installer/manifests.py
@@ -4,7 +4,7 @@
 
 from apricotpin.components.installer import const
 from apricotpin.components.installer.state import VersionPieces
-from apricotpin.helpers.hashing import matches_sha256, sha256_hex
+from apricotpin.helpers.hashing import matches_digest_of, sha256_hex
 
 
 def index_to_fetch(pieces: VersionPieces) -> int | None:
@@ -66,11 +66,10 @@
 
 
 def _drop_mismatching(pieces: VersionPieces) -> None:
-    count = len(pieces.digests)
     dropped = [
         index
         for index, content in pieces.content.items()
-        if index >= count or not matches_sha256(content, pieces.digests[index])
+        if not matches_digest_of(index, content, pieces.digests)
     ]
     for index in dropped:
         pieces.content.pop(index)
--- a/apricotpin/components/installer/tasks.py
+++ b/apricotpin/components/installer/tasks.py
@@ -149,7 +149,7 @@
 
 def _scan(kernel: Kernel, job: LoadJob) -> LoadJobDone:
     """Return the staged pieces that match the version's manifest."""
-    return _read_staged(kernel, job, job.digests)
+    return _read_staged(kernel, job, range(len(job.digests)))
 
 
 def _read_staged(
--- a/apricotpin/components/relay/manifests.py
+++ b/apricotpin/components/relay/manifests.py
@@ -5,7 +5,7 @@
 
 from apricotpin.components.relay import const
 from apricotpin.components.relay.state import CachedVersion
-from apricotpin.helpers.hashing import matches_sha256, sha256_hex
+from apricotpin.helpers.hashing import matches_digest_of, sha256_hex
 from apricotpin.messages.desired import Engine
 
 
@@ -68,8 +68,7 @@
 
 def is_intact(cached: CachedVersion, index: int, content: bytes) -> bool:
     """Return whether a piece matches its digest in the manifest."""
-    digests = cached.digests
-    return index < len(digests) and matches_sha256(content, digests[index])
+    return matches_digest_of(index, content, cached.digests)
 
 
 def should_read_again(
--- a/apricotpin/helpers/hashing.py
+++ b/apricotpin/helpers/hashing.py
@@ -1,7 +1,7 @@
 """Digests and rendezvous hashing."""
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from blake3 import blake3
 
@@ -25,6 +25,16 @@
     return sha256_hex(content) == digest
 
 
+def matches_digest_of(
+    index: int, content: bytes | None, digests: Sequence[str]
+) -> bool:
+    """Return whether content matches the digest of the piece at an index.
+
+    There may be no such piece, since a manifest may replace a longer one.
+    """
+    return index < len(digests) and matches_sha256(content, digests[index])
+
+
 def rank_of(*parts: str) -> int:
     """Return a 64-bit number that depends only on the parts."""
     joined = '\x00'.join(parts).encode()
