Build the routes of platform tests in one place

platform_endless_steps.py repeated the route of script/platform_fleet.py. The names of its two routes now begin with r-, as those of the others.

--- a/script/platform_fleet.py
+++ b/script/platform_fleet.py
@@ -38,6 +38,23 @@
 }
 
 
+def make_route(name, kind, service='drafting', **overrides):
+    """Return a route of a desired state; overrides replace fields."""
+    return {
+        'name': f'r-{name}',
+        'hostname': 'fleet.test',
+        'path_prefix': f'/{name}/',
+        'route_type': kind,
+        'timeout_ms': 3000,
+        'goal_ms': 400,
+        'priority': 1,
+        'service': service,
+        'max_attempts': 2,
+        'resumable': False,
+        **overrides,
+    }
+
+
 class Fleet:
     """Own the stand-ins and the product's processes of one test run."""
 
@@ -88,18 +105,7 @@
         Each call has the next version; overrides replace fields.
         """
         routes = [
-            {
-                'name': f'r-{name}',
-                'hostname': 'fleet.test',
-                'path_prefix': f'/{name}/',
-                'route_type': kind,
-                'timeout_ms': 3000,
-                'goal_ms': 400,
-                'priority': 1,
-                'service': 'drafting',
-                'max_attempts': attempts,
-                'resumable': resumable,
-            }
+            make_route(name, kind, max_attempts=attempts, resumable=resumable)
             for name, (kind, attempts, resumable) in _ROUTE_KINDS.items()
         ]
         state = {
--- a/tests/steps/platform_endless_steps.py
+++ b/tests/steps/platform_endless_steps.py
@@ -6,7 +6,13 @@
 from behave import given, then, when
 from gevent import joinall, sleep, spawn
 
-from script.platform_fleet import ZONE, is_ready, send, wait_for
+from script.platform_fleet import (
+    ZONE,
+    is_ready,
+    make_route,
+    send,
+    wait_for,
+)
 from tests.endless_sender import EndlessSender
 from tests.steps.exchange_steps import ENDLESS
 from tests.steps.platform_fleet_steps import start_stand_ins
@@ -29,21 +35,6 @@
     return beginning.replace(b'HTTP/1.1 200 OK\r\n', _OWN), filler
 
 
-def _route(name, kind, service):
-    return {
-        'name': name,
-        'hostname': 'fleet.test',
-        'path_prefix': f'/{name}/',
-        'route_type': kind,
-        'timeout_ms': 3000,
-        'goal_ms': 400,
-        'priority': 1,
-        'service': service,
-        'max_attempts': 2,
-        'resumable': False,
-    }
-
-
 @given('a platform fleet with {count:d} workers that send endless {part}')
 def start_faulty_fleet(context, count, part):
     start_stand_ins(context)
@@ -51,8 +42,8 @@
     kind = 'streaming' if part == 'event' else 'idempotent'
     fleet.put_desired_state(
         routes=[
-            _route('read', 'idempotent', 'drafting'),
-            _route('faulty', kind, 'faulty'),
+            make_route('read', 'idempotent'),
+            make_route('faulty', kind, 'faulty'),
         ],
         services=[
             {'name': 'drafting', 'max_connections': 100},
