Log why a response that has begun is not complete

request_ended of such a response now has the cause, the time left, the last event and whether an attempt was still in progress. response_not_written names a request whose last bytes could not be written after its end was logged.

The rows of broken_streams.feature failed before: the line had no cause.

--- a/apricotpin/components/gateway/application.py
+++ b/apricotpin/components/gateway/application.py
@@ -21,6 +21,7 @@
 )
 from apricotpin.components.gateway.callers import (
     ENVIRON_REQUEST,
+    CallerDisconnected,
     DisconnectWatch,
     RawRequest,
 )
@@ -33,6 +34,7 @@
 from apricotpin.const import SERVICE_GATEWAY, SERVICE_METRICS
 from apricotpin.core import Kernel
 from apricotpin.errors import ErrorKind, Failure, error_response_for
+from apricotpin.helpers.exchange import Verdict
 from apricotpin.helpers.metrics import count_refusal
 from apricotpin.messages.requests import CallCodec, RequestHead, Headers
 from apricotpin.messages.desired import RouteKind
@@ -92,7 +94,13 @@
             SERVICE_METRICS,
             Observe('first_byte_s', time.monotonic() - self._started_s),
         )
-        yield from self._deliver(attempt, start_response)
+        try:
+            yield from self._deliver(attempt, start_response)
+        except BaseException as error:
+            self._outcome.update(
+                log_lines.incomplete_fields(self._context, _cause_of(error))
+            )
+            raise
         self._outcome['outcome'] = 'answered'
 
     def close(self) -> None:
@@ -133,6 +141,7 @@
         if head.is_err():
             return head
         self._head = head.ok_value
+        self._raw_request.request_id = self._head.request_id
         # The body is read even if the request is refused, so that the
         # connection can carry the next request.
         body = self._raw_request.read_body()
@@ -255,6 +264,18 @@
     request.throw(serving.RequestInterrupted)
 
 
+def _cause_of(error: BaseException) -> str:
+    """Return why a response that has begun is not complete."""
+    if isinstance(error, serving.RequestInterrupted):
+        return ErrorKind.STOPPING.value
+    if isinstance(error, CallerDisconnected):
+        return Verdict.CALLER_LEFT.value
+    if isinstance(error, GeneratorExit):
+        # The server closes the generator after a write has failed.
+        return 'not_written'
+    return str(error) or repr(error)
+
+
 def _status_line(status: int) -> str:
     try:
         return f'{status} {HTTPStatus(status).phrase}'
--- a/apricotpin/components/gateway/callers.py
+++ b/apricotpin/components/gateway/callers.py
@@ -7,6 +7,7 @@
 from gevent import GreenletExit, get_hub, getcurrent, socket
 from gevent.event import Event
 from gevent.pywsgi import WSGIHandler
+from loguru import logger
 from result import Err, Ok, Result
 
 from apricotpin.components.gateway import const
@@ -52,6 +53,7 @@
         'connection',
         'headers',
         'method',
+        'request_id',
         'target',
     )
 
@@ -68,6 +70,8 @@
         self.target = target
         self.headers = headers
         self.connection = connection
+        # Empty until the head is decoded.
+        self.request_id = ''
         self.body_read = False
         self._body = body
         self._limit_bytes = limit_bytes
@@ -161,6 +165,21 @@
         )
         return environ
 
+    def run_application(self) -> None:
+        """Log a response that could not be written to its end.
+
+        The last chunk follows after the application has logged the request's
+        end.
+        """
+        try:
+            super().run_application()
+        except OSError as error:
+            logger.bind(
+                id=self.environ[ENVIRON_REQUEST].request_id,
+                error=repr(error),
+            ).info('response_not_written')
+            raise
+
     def handle_error(self, kind: Any, error: Any, trace: Any) -> None:
         """Close the connection if the response can't be completed."""
         if isinstance(error, IncompleteResponse | GreenletExit):
--- a/apricotpin/components/gateway/log_lines.py
+++ b/apricotpin/components/gateway/log_lines.py
@@ -1,7 +1,7 @@
 """Log lines about the selection of upstreams and the end of attempts."""
 
 import time
-from typing import Final
+from typing import Any, Final
 
 from loguru import logger
 
@@ -66,6 +66,19 @@
     }
 
 
+def incomplete_fields(context: RequestContext, cause: str) -> dict[str, Any]:
+    """Return why and when a response ended before it was complete.
+
+    has_worker: an attempt was still in progress.
+    """
+    return {
+        'cause': cause,
+        'left_ms': _left_ms(context),
+        'after_event': context.progress.last_event_id,
+        'has_worker': context.current_attempt is not None,
+    }
+
+
 def _left_ms(context: RequestContext) -> int:
     return _ms(context.progress.deadline_s - time.monotonic())
 
--- a/apricotpin/components/gateway/serving.py
+++ b/apricotpin/components/gateway/serving.py
@@ -101,7 +101,7 @@
         events = attempts.read_events(context, attempt)
         if events.is_err():
             attempts.end_attempt(context, attempt, events.err_value)
-            attempt = _resume_stream(context)
+            attempt = _resume_stream(context, events.err_value)
             yield attempt.first_part
         elif events.ok_value:
             yield events.ok_value
@@ -110,15 +110,17 @@
             return
 
 
-def _resume_stream(context: RequestContext) -> Attempt:
+def _resume_stream(context: RequestContext, ended_by: Verdict) -> Attempt:
     if not decisions.may_retry(context.progress, time.monotonic()):
-        raise IncompleteResponse('the stream was cut and may not be resumed')
+        raise IncompleteResponse(f'{ended_by.value}, no attempt may follow')
     resumed = run_attempts(context)
     if resumed.is_err():
-        raise IncompleteResponse(resumed.err_value.detail)
+        raise IncompleteResponse(
+            f'{ended_by.value}, then {resumed.err_value!r}'
+        )
     if resumed.ok_value.splitter is None:
         raise IncompleteResponse(
-            'the response to the resumed stream is not a stream'
+            f'{ended_by.value}, then {Verdict.NOT_A_STREAM.value}'
         )
     logger.bind(
         id=context.head.request_id,
--- a/tests/components/gateway/broken_streams.feature
+++ b/tests/components/gateway/broken_streams.feature
@@ -42,6 +42,19 @@
       | closes inside an event | the next event in cut chunks       | broken, both events |
       | closes inside an event | half a head                        | broken, one event |
 
+  Scenario Outline: a stream that breaks off, and goes on with <second>, is logged with the cause <cause>
+    # Guards against responses that end without a line that says why.
+    Given gateway's first worker sends one event and <break>
+    And gateway's second worker sends <second>
+    When gateway is sent a stream that may be resumed once
+    Then gateway's log says that r1 ended as <outcome> after event <event>, with the cause <cause>
+
+    Examples:
+      | break                | second                        | outcome    | event | cause                      |
+      | closes               | the next event in chunks      | answered   | -     | -                          |
+      | closes               | half a head                   | broken_off | 1     | truncated, then upstream_failed: reset_before_answer |
+      | resets inside an event | the next event in cut chunks | broken_off | 2     | truncated, no attempt may follow |
+
   Scenario Outline: a <kind> whose only worker sends <sent> ends as <response>
     Given gateway's first worker sends <sent>
     When gateway is sent a <kind> for one attempt
--- a/tests/steps/gateway_streams_steps.py
+++ b/tests/steps/gateway_streams_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 from gevent import sleep, socket
+from loguru import logger
 
 from tests.steps.gateway_endless_steps import _World
 from tests.steps.gateway_kept_steps import _Worker
@@ -139,7 +140,9 @@
 
 def _run(context, kind, most):
     context.world = _TwoWorkers(context.first, context.second)
-    context.cleanups = [context.world.close]
+    context.lines = []
+    sink = logger.add(lambda line: context.lines.append(line.record))
+    context.cleanups = [context.world.close, lambda: logger.remove(sink)]
     context.world.run(kind, most)
 
 
@@ -156,3 +159,21 @@
 @then("gateway's caller receives {received}")
 def check_received(context, received):
     assert context.world.received == received, context.world.received
+
+
+@then(
+    "gateway's log says that {request_id} ended as {outcome} after event "
+    '{event}, with the cause {cause}'
+)
+def check_logged_end(context, request_id, outcome, event, cause):
+    ended = [
+        line['extra']
+        for line in context.lines
+        if line['message'] == 'request_ended'
+        and line['extra']['id'] == request_id
+    ]
+    logged = [
+        (one['outcome'], one.get('after_event', '-'), one.get('cause', '-'))
+        for one in ended
+    ]
+    assert logged == [(outcome, event, cause)], logged
