Write the last log lines before a process ends

The end waits up to 0.1 s for the queue. lines_dropped has a level and the host, so that a search for warnings finds it.

The rows of logs.feature could not run before: the writer had no flush().

--- a/apricotpin/helpers/logs.py
+++ b/apricotpin/helpers/logs.py
@@ -36,20 +36,28 @@
 
 
 class LineWriter:
-    """Write lines to a file; the caller never waits for its reader."""
+    """Write lines to a file; the caller never waits for its reader.
+
+    dropped_line is written, with a count, after lines have been dropped.
+    """
 
     __slots__ = (
         '_descriptor',
         '_dropped',
+        '_dropped_line',
         '_has_lines',
+        '_is_idle',
         '_lines',
     )
 
-    def __init__(self, descriptor: int) -> None:
+    def __init__(self, descriptor: int, dropped_line: str) -> None:
         self._descriptor = descriptor
+        self._dropped_line = dropped_line
         self._lines: deque[str] = deque()
         self._dropped = 0
         self._has_lines = Event()
+        self._is_idle = Event()
+        self._is_idle.set()
 
     def put(self, line: str) -> None:
         """Queue a line, or count it as dropped if the queue is full."""
@@ -57,8 +65,13 @@
             self._dropped += 1
             return
         self._lines.append(line)
+        self._is_idle.clear()
         self._has_lines.set()
 
+    def flush(self, timeout_s: float) -> bool:
+        """Wait until all queued lines are written; return whether they are."""
+        return self._is_idle.wait(timeout_s)
+
     def run(self) -> None:
         """Write the queued lines in order, for ever."""
         make_nonblocking(self._descriptor)
@@ -66,23 +79,27 @@
             self._has_lines.wait()
             self._has_lines.clear()
             self._write_all()
+            self._is_idle.set()
 
     def _write_all(self) -> None:
         while self._lines:
             batch = ''.join(self._lines).encode()
             self._lines.clear()
             if self._dropped:
-                batch += f'event=lines_dropped count={self._dropped}\n'.encode()
+                dropped = f'{self._dropped_line} count={self._dropped}\n'
+                batch += dropped.encode()
                 self._dropped = 0
             while batch:
                 batch = batch[nb_write(self._descriptor, batch) :]
 
 
-def configure_stdout_logs(level: str, host_id: str) -> None:
+def configure_stdout_logs(level: str, host_id: str) -> LineWriter:
     """Send log lines to standard output; drop lines that nobody reads."""
-    writer = LineWriter(sys.stdout.fileno())
+    dropped_line = f'level=warning event=lines_dropped host={host_id}'
+    writer = LineWriter(sys.stdout.fileno(), dropped_line)
     gevent.spawn(writer.run)
     _configure(writer.put, level, host_id)
+    return writer
 
 
 def format_value(raw: Any) -> str:
--- a/apricotpin/hosting.py
+++ b/apricotpin/hosting.py
@@ -17,6 +17,8 @@
 from apricotpin.host_settings import HostSettings
 
 EXIT_FAILED: Final = 1
+# A reader of standard output that has stopped must not delay the end.
+LOG_FLUSH_TIMEOUT_S: Final = 0.1
 _EXIT_DONE: Final = 0
 
 ReadSettings = Callable[[], Result[HostSettings, Failure]]
@@ -30,7 +32,7 @@
         sys.stdout.write(f'event=settings_invalid {failure.detail}\n')
         return EXIT_FAILED
     settings = loaded.ok_value
-    configure_stdout_logs(settings.log_level, settings.host_id)
+    log_writer = configure_stdout_logs(settings.log_level, settings.host_id)
     stop_requested = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop_requested.set)
@@ -42,7 +44,7 @@
             'not_started',
         )
         return EXIT_FAILED
-    sys.stdout.flush()
+    log_writer.flush(LOG_FLUSH_TIMEOUT_S)
     # Exit at once, without waiting for greenlets that are blocked on sockets.
     os._exit(_EXIT_DONE)
 
