--- a/script/platform_fleet.py
+++ b/script/platform_fleet.py
@@ -16,6 +16,7 @@
 
 from script.standins.platform_store import PlatformStore
 from script.standins.platform_worker import PlatformOrigin, PlatformWorker
+from script.standins.web import ConnectionHandler
 
 ROOT = pathlib.Path(__file__).parent.parent
 READY_TIMEOUT_S = 15.0
@@ -65,6 +66,9 @@
         self.workers = {}
         self.processes = {}
         self.folder = pathlib.Path(tempfile.mkdtemp())
+        # How long the desired state says that a worker takes to load weights.
+        self.warm_s = 0.1
+        self.keeps_files = False
         self._servers = []
         self._version = 1
         self.store_address = self._serve(
@@ -74,10 +78,17 @@
             f'{network_prefix}.0.2', 8006, self.origin
         )
 
-    def add_worker(self, host_number, version=1, is_listed=True, zone=ZONE):
+    def add_worker(
+        self,
+        host_number,
+        version=1,
+        is_listed=True,
+        zone=ZONE,
+        make_worker=PlatformWorker,
+    ):
         """Start a worker on the host address with this number."""
         name = f'worker-{host_number}'
-        worker = PlatformWorker(name, version)
+        worker = make_worker(name, version)
         address = self._serve(
             f'{self.network_prefix}.1.{host_number}', 8001, worker
         )
@@ -120,7 +131,7 @@
                         'layers': 16,
                         'chunks': 64,
                         'chunk_bytes': 1024,
-                        'models': [{'name': 'm', 'warm_s': 0.1}],
+                        'models': [{'name': 'm', 'warm_s': self.warm_s}],
                     },
                 },
                 {
@@ -161,7 +172,7 @@
             [sys.executable, '-m', 'apricotpin.platform'],
             cwd=ROOT,
             env={**os.environ, 'APRICOTPIN_BOOT': str(path)},
-            stdout=(self.folder / f'{name}.out').open('w'),
+            stdout=(self.folder / f'{name}.out').open('a'),
             stderr=subprocess.STDOUT,
         )
         return ip
@@ -175,16 +186,26 @@
         return (self.folder / f'{name}.out').read_text()
 
     def close(self):
-        """Kill all processes, stop the stand-ins and delete their files."""
+        """Kill all processes, stop the stand-ins and delete their files.
+
+        With keeps_files, the files stay.
+        """
         for process in self.processes.values():
             process.kill()
             process.wait()
         for server in self._servers:
             server.stop(timeout=0)
-        shutil.rmtree(self.folder)
+        if not self.keeps_files:
+            shutil.rmtree(self.folder)
 
     def _serve(self, ip, port, application):
-        server = WSGIServer((ip, port), application, log=None, error_log=None)
+        server = WSGIServer(
+            (ip, port),
+            application,
+            log=None,
+            error_log=None,
+            handler_class=ConnectionHandler,
+        )
         server.start()
         self._servers.append(server)
         return f'{ip}:{port}'
--- a/script/standins/web.py
+++ b/script/standins/web.py
@@ -174,7 +174,7 @@
         return Response.with_error(HTTPStatus.BAD_REQUEST, str(refused))
 
 
-class _ConnectionHandler(WSGIHandler):
+class ConnectionHandler(WSGIHandler):
     """Give endpoints access to their connection, so that they inject faults."""
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
@@ -202,7 +202,7 @@
         make_application(routes),
         log=None,
         error_log=None,
-        handler_class=_ConnectionHandler,
+        handler_class=ConnectionHandler,
     )
     server.start()
     return server
