Log what a paced worker did with late orders and copies

A folder of logs that a failed run leaves has a file for each worker, without which a bad layer can't be traced to the order that loaded it.

--- a/script/soak.py
+++ b/script/soak.py
@@ -90,7 +90,10 @@
     ) -> None:
         """Call an action again and again until the run is over."""
         while not self.is_over:
-            gevent.sleep(rng.uniform(*span_s))
+            # Short times are the more frequent ones, so that events overlap.
+            shortest_s, longest_s = span_s
+            spread_s = (longest_s - shortest_s) * rng.random() ** 2
+            gevent.sleep(shortest_s + spread_s)
             if not self.is_over:
                 action(rng)
 
@@ -247,7 +250,7 @@
         plan.pause_shortest_s = 1.1
         plan.pause_longest_s = 1.8
     if profile in ('late', 'all'):
-        plan.late_order_share = 0.3
+        plan.late_order_share = 0.4
         plan.late_copy_share = 0.03
         plan.unanswered_share = 0.3
 
@@ -331,6 +334,8 @@
     """Run one seed and print a line of figures; keep the logs if it failed."""
     if profile not in PROFILES:
         raise typer.BadParameter(f'profile={profile} expected={PROFILES}')
+    # The processes of the fleet are ended also if this run is.
+    gevent.signal_handler(signal.SIGTERM, sys.exit, _EXIT_FAILED)
     fleet = Fleet(net)
     fleet.keeps_files = True
     with contextlib.closing(fleet):
--- a/script/soak_checks.py
+++ b/script/soak_checks.py
@@ -54,12 +54,14 @@
     workers = list(soak.fleet.workers.values())
     runs: dict[str, list[Run]] = defaultdict(list)
     arrivals: set[str] = set()
+    lines: dict[str, list[str]] = defaultdict(list)
+    lines['faults'].extend(soak.ended)
     for worker in workers:
+        lines[worker.instance_id] = worker.weights.log
         arrivals |= worker.arrivals
         for run in worker.runs:
             runs[run.request_id].append(run)
     faults: Counter[str] = Counter()
-    lines: dict[str, list[str]] = {'faults': list(soak.ended), 'callers': []}
     for exchange in soak.traffic.exchanges:
         own_runs = runs.pop(exchange.request_id, [])
         kinds = _faults_of(exchange, own_runs, arrivals, soak.stops)
--- a/script/standins/paced_weights.py
+++ b/script/standins/paced_weights.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections.abc import Callable
+from datetime import UTC, datetime
 from typing import Any, Final
 
 import gevent
@@ -36,6 +37,7 @@
         'is_busy',
         'is_draining',
         'layers',
+        'log',
         'on_change',
         'sequence',
         'staged',
@@ -49,12 +51,14 @@
         self.break_off = break_off
         self.on_change: Callable[[], None] = _ignore
         self.bad_layers = 0
+        self.log: list[str] = []
         self.idle = Event()
         self.forget()
         self.layers = {layer: (version, False) for layer in range(LAYERS)}
 
     def forget(self) -> None:
         """Forget all but the staged pieces, as a restart does."""
+        self.note('started')
         # A load that waits for the end of requests ends with the restart.
         self.idle.set()
         self.idle = Event()
@@ -84,6 +88,11 @@
             is_bad for _, is_bad in self.layers.values()
         )
 
+    def note(self, text: str) -> None:
+        """Add a line with the time of day to the log."""
+        now = datetime.now(UTC).isoformat(timespec='milliseconds')
+        self.log.append(f'time={now} {text}')
+
     def report(self) -> dict[str, Any]:
         """Return the weights that the worker reports as loaded."""
         ranges: list[dict[str, int]] = []
@@ -103,6 +112,11 @@
 
     def accept(self, order: dict[str, Any]) -> int:
         """Begin an order if it fits; return the status of the response."""
+        status = self._begin(order)
+        self.note(f'order status={status} {order}')
+        return status
+
+    def _begin(self, order: dict[str, Any]) -> int:
         fence = int(order.get('fencing_token', self._fence))
         if order.get('operation') != 'start':
             return 400
@@ -121,7 +135,9 @@
         self.is_busy = True
         # The staged pieces count as they are when the order is accepted.
         loaded = {one: (version, self._is_bad(one, version)) for one in layers}
-        self.bad_layers += sum(is_bad for _, is_bad in loaded.values())
+        bad = [layer for layer in loaded if loaded[layer][1]]
+        self.bad_layers += len(bad)
+        self.note(f'accepted version={version} bad_layers={bad}')
         gevent.spawn(self._load, loaded, version, order.get('mode'))
         return 202
 
@@ -144,10 +160,12 @@
             if idle is not self.idle:
                 return
             self.layers = {}
+            self.note('dropped all layers')
             self.on_change()
         gevent.sleep(WARM_S * len(loaded) / LAYERS)
         if idle is self.idle:
             self.layers = {**self.layers, **loaded}
+            self.note(f'loaded version={version}')
             self.is_busy = False
             self.is_draining = False
             self.on_change()
--- a/script/standins/paced_worker.py
+++ b/script/standins/paced_worker.py
@@ -158,13 +158,13 @@
             return _respond(start_response, 200, self.weights.staged[index])
         if path.startswith('/stage-put'):
             is_answered = self._wait_late(
-                self.plan.late_copy_share, _LATE_COPY_S
+                f'copy index={index}', self.plan.late_copy_share, _LATE_COPY_S
             )
             self.weights.stage(index, body)
             return _answer_call(start_response, 200, is_answered)
         if path == '/order':
             is_answered = self._wait_late(
-                self.plan.late_order_share, _LATE_ORDER_S
+                f'order {body!r}', self.plan.late_order_share, _LATE_ORDER_S
             )
             status = self.weights.accept(json.loads(body))
             return _answer_call(start_response, status, is_answered)
@@ -211,7 +211,9 @@
             run.ended_s = time.monotonic()
             _shut_down(run.connection)
 
-    def _wait_late(self, share: float, span_s: tuple[float, float]) -> bool:
+    def _wait_late(
+        self, call: str, share: float, span_s: tuple[float, float]
+    ) -> bool:
         """Wait before a late call takes effect, though its caller may go.
 
         Return whether it gets a response.
@@ -220,7 +222,9 @@
         is_answered = True
         if self._random.random() < share:
             is_answered = self._random.random() >= self.plan.unanswered_share
+            self.weights.note(f'received late {call}')
             gevent.sleep(self._random.uniform(*span_s))
+            self.weights.note(f'takes effect {call} answered={is_answered}')
         if started_ms != self.started_ms:
             raise ConnectionResetError(104, 'the worker has restarted')
         return is_answered
