Read a caller's connection to its end before it is closed

Callers lost the rest of a last response, one with Connection: close as in a planned stop, with a reset and no line in the log: 12,151 of 1,500,000 bytes arrived in a trial with a real process, a SIGTERM, and a caller that reads slowly and has sent a request of 60 kB behind the one in progress. The server read 16 KiB at most before it closed the connection; a connection that is closed with unread bytes, or receives bytes once it is closed, is reset, and the kernel discards what is not delivered yet.

Four of the six new rows of stop.feature failed before: "the caller has received the whole response: (12288, ConnectionResetError(104, ...))".

The end of the connection is now sent first. The connection is then read until the caller closes it or is silent for 0.5 s, at most for 2 s, so that no byte is unread when it is closed.

--- a/apricotpin/components/gateway/callers.py
+++ b/apricotpin/components/gateway/callers.py
@@ -21,6 +21,7 @@
 from apricotpin.core import Kernel
 from apricotpin.errors import ErrorKind, Failure, error_response_for
 from apricotpin.helpers.exchange import is_open_and_idle
+from apricotpin.helpers.sockets import discard_until_closed
 from apricotpin.messages.requests import Headers
 from apricotpin.messages.desired import CallerLimits
 
@@ -111,6 +112,21 @@
         reply = kernel.call(SERVICE_GATEWAY, GetLimits())
         self._limits: CallerLimits = reply.unwrap_or(None) or _DEFAULT_LIMITS
         self._waits_for_request = False
+        self._has_responded = False
+
+    def handle_one_request(self) -> Any:
+        """Handle a request; after a last response wait for the caller to close.
+
+        The caller may not have received all of the response, and may send its
+        next request meanwhile.
+        """
+        self._has_responded = False
+        outcome = super().handle_one_request()
+        if self._has_responded and self.close_connection:
+            discard_until_closed(
+                self.socket, const.CLOSE_IDLE_S, const.CLOSE_WAIT_S
+            )
+        return outcome
 
     def read_requestline(self) -> str:
         """Wait for the next request, up to the idle time-out.
@@ -179,6 +195,7 @@
                 error=repr(error),
             ).info('response_not_written')
             raise
+        self._has_responded = True
 
     def handle_error(self, kind: Any, error: Any, trace: Any) -> None:
         """Close the connection if the response can't be completed."""
--- a/apricotpin/components/gateway/const.py
+++ b/apricotpin/components/gateway/const.py
@@ -13,6 +13,11 @@
 IDLE_TIMEOUT_S: Final = 15.0
 # A caller that reads nothing for this long counts as disconnected.
 WRITE_TIMEOUT_S: Final = 10.0
+# After its last response, a connection is read until the caller closes it or
+# sends nothing for CLOSE_IDLE_S, at most for CLOSE_WAIT_S. Longer waits would
+# hold up the end of a planned stop.
+CLOSE_IDLE_S: Final = 0.5
+CLOSE_WAIT_S: Final = 2.0
 RESPONSE_BODY_MAX_BYTES: Final = 8388608
 # Response bodies and incomplete events up to RESPONSE_UNRESERVED_MAX_BYTES need
 # no reservation. Larger ones reserve memory in steps of
--- a/apricotpin/helpers/sockets.py
+++ b/apricotpin/helpers/sockets.py
@@ -1,8 +1,10 @@
-"""Socket options that end a connection whose peer is unreachable."""
+"""Socket options and the ends of connections."""
 
+import contextlib
+import time
 from typing import Final
 
-from gevent import socket
+from gevent import sleep, socket
 
 # The connection ends if sent bytes are not acknowledged within this time.
 USER_TIMEOUT_MS: Final = 1500
@@ -10,6 +12,9 @@
 KEEPALIVE_IDLE_S: Final = 1
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 2
+_DISCARD_BYTES: Final = 65536
+# recv yields to other greenlets only if no bytes are waiting.
+_YIELD_S: Final = 0.001
 
 
 def set_liveness_options(connection: socket.socket) -> None:
@@ -24,3 +29,22 @@
     )
     for level, name, setting in options:
         connection.setsockopt(level, name, setting)
+
+
+def discard_until_closed(
+    connection: socket.socket, idle_s: float, total_s: float
+) -> None:
+    """Send the end of a connection, then read until the peer ends it.
+
+    A connection that is closed with unread bytes, or receives bytes once it is
+    closed, is reset, and what was sent but not received is lost. The wait ends
+    after idle_s without a byte, or after total_s.
+    """
+    deadline_s = time.monotonic() + total_s
+    connection.settimeout(idle_s)
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_WR)
+        while connection.recv(_DISCARD_BYTES):
+            if time.monotonic() >= deadline_s:
+                return
+            sleep(_YIELD_S)
--- a/tests/components/gateway/stop.feature
+++ b/tests/components/gateway/stop.feature
@@ -22,6 +22,23 @@
       | runs a request                                 | a whole response |
       | has sent its second request, not read yet      | a whole response |
 
+  Scenario Outline: a caller that has sent <size> more bytes <moment> its last response receives all of it
+    # A connection that was closed with unread bytes was reset, so that the
+    # caller lost what it had not received yet.
+    Given gateway ends the connection of a caller that reads slowly
+    When gateway responds, and its caller sends <size> more bytes <moment> the response
+    Then gateway's caller has received the whole response
+    And gateway's connections have all ended within 1 s
+
+    Examples:
+      | size    | moment |
+      | 0       | before |
+      | 100     | before |
+      | 60000   | before |
+      | 1000000 | before |
+      | 0       | after  |
+      | 60000   | after  |
+
   Scenario Outline: in a planned stop, a <kind> request that <state> gets <response>
     # Requests were taken late in the grace period and passed on, and at its end
     # they were cut off without a response.
