--- a/script/soak_checks.py
+++ b/script/soak_checks.py
@@ -64,7 +64,7 @@
     faults: Counter[str] = Counter()
     for exchange in soak.traffic.exchanges:
         own_runs = runs.pop(exchange.request_id, [])
-        kinds = _faults_of(exchange, own_runs, arrivals, soak.stops)
+        kinds = faults_of(exchange, own_runs, arrivals, soak.stops)
         faults.update(kinds)
         description = _describe(exchange, own_runs)
         lines['callers'].append(description)
@@ -102,9 +102,10 @@
     return is_own and is_late and was_at_work and is_early
 
 
-def _faults_of(
+def faults_of(
     exchange: Exchange, runs: list[Run], arrivals: set[str], stops: list[Stop]
 ) -> list[str]:
+    """Return the rules that the handling of a request broke."""
     faults = []
     if exchange.end == CUT and exchange.sent_s:
         is_passed_on = exchange.request_id in arrivals
