Tell a refused order or copy from one without a response

Calls that change the worker now fail with engine_outcome_unknown once a byte was sent, unless a status below 500 arrives; they are logged as order_unanswered and piece_copy_unanswered. order_refused is left to answers of the worker and calls that were not sent. The lines name the number of orders that the worker had begun, which its report states. A write is no longer repeated unseen on a new connection after a reset, since both copies could take effect. No decision depends on the new kind yet.

--- a/apricotpin/components/installer/events.py
+++ b/apricotpin/components/installer/events.py
@@ -90,10 +90,12 @@
     part is the layers that a check or a load order concerns. pieces maps the
     indexes of the pieces to copy to their content. started_s is when the step
     was assigned, and a load order is not sent after send_by_s, both on the
-    boot-time clock.
+    boot-time clock. accepted_orders is how many orders the worker had begun by
+    the last report.
     """
 
     __slots__ = (
+        'accepted_orders',
         'digests',
         'install',
         'part',
@@ -118,6 +120,7 @@
         self.digests = tuple(install.pieces.digests)
         self.pieces = pieces
         self.send_by_s: float = 0
+        self.accepted_orders = 0
 
 
 class LoadJobDone:
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -366,6 +366,8 @@
         indexes = checks.piece_indexes(install.pieces, part)
         pieces = {index: content[index] for index in indexes}
     job = LoadJob(step, install, part, pieces, clocks.boot_time_s())
+    if worker.report is not None:
+        job.accepted_orders = worker.report.accepted_orders
     if step is decisions.LoadStep.START:
         left_s = checks.order_time_left_s(install.pieces.check, now_s)
         job.send_by_s = job.started_s + left_s
--- a/apricotpin/components/installer/tasks.py
+++ b/apricotpin/components/installer/tasks.py
@@ -10,7 +10,7 @@
 from loguru import logger
 from result import Result
 
-from apricotpin.components.installer import const
+from apricotpin.components.installer import const, open_calls
 from apricotpin.components.installer.decisions import (
     LoadStep,
     is_source_waiting,
@@ -190,10 +190,15 @@
             const.CALL_TIMEOUT_S,
         )
         if written.is_err():
+            event = 'piece_not_staged'
+            if open_calls.is_outcome_unknown(written.err_value):
+                event = 'piece_copy_unanswered'
             logger.bind(
+                model=job.install.model,
+                version=job.install.version,
                 index=index,
                 error=repr(written.err_value),
-            ).warning('piece_not_staged')
+            ).warning(event)
             return LoadJobDone(job, False, staged)
         staged[index] = content
     return LoadJobDone(job, True, staged)
@@ -238,9 +243,13 @@
         version=install.version,
         layers=f'{job.part.start}-{job.part.end}',
         turn=install.turn,
+        accepted_orders=job.accepted_orders,
     )
     if started.is_err():
-        bound.bind(error=repr(started.err_value)).warning('order_refused')
+        event = 'order_refused'
+        if open_calls.is_outcome_unknown(started.err_value):
+            event = 'order_unanswered'
+        bound.bind(error=repr(started.err_value)).warning(event)
         return LoadJobDone(job, False, {})
     bound.info('order_given')
     return LoadJobDone(job, True, {})
--- a/apricotpin/errors.py
+++ b/apricotpin/errors.py
@@ -54,6 +54,7 @@
     VERSION_TOO_LARGE = 'version_too_large'
     ENGINE_UNAVAILABLE = 'engine_unavailable'
     ENGINE_REFUSED = 'engine_refused'
+    ENGINE_OUTCOME_UNKNOWN = 'engine_outcome_unknown'
 
 
 class Repeat(enum.Enum):
--- a/apricotpin/helpers/http.py
+++ b/apricotpin/helpers/http.py
@@ -89,10 +89,17 @@
 
     url is a complete URL for send_request(), and a path with its query for a
     PooledHttpClient. The request is not sent after send_by_s, on the boot-time
-    clock.
+    clock. is_repeatable: it may be sent again if its connection was reset.
     """
 
-    __slots__ = ('body', 'content_type', 'method', 'send_by_s', 'url')
+    __slots__ = (
+        'body',
+        'content_type',
+        'is_repeatable',
+        'method',
+        'send_by_s',
+        'url',
+    )
 
     def __init__(
         self,
@@ -103,6 +110,7 @@
         send_by_s: float = math.inf,
     ) -> None:
         self.send_by_s = send_by_s
+        self.is_repeatable = method in _REPEATABLE
         self.method = method
         self.url = url
         self.body = body
@@ -303,4 +311,4 @@
     """
     if verdict is Verdict.CONNECT_FAILED:
         return True
-    return verdict is Verdict.RESET and request.method in _REPEATABLE
+    return verdict is Verdict.RESET and request.is_repeatable
--- a/apricotpin/messages/pieces.py
+++ b/apricotpin/messages/pieces.py
@@ -1,5 +1,7 @@
 """Messages about pieces of weights and the worker that loads them."""
 
+import enum
+
 from apricotpin.messages.upstreams import LoadedLayers
 
 
@@ -90,9 +92,20 @@
         self.index = index
 
 
+class OrderEffect(enum.Enum):
+    """Name what an accepted order does."""
+
+    BEGUN = 'begun'
+    # The worker begins nothing, since the order is in effect already.
+    IN_EFFECT = 'in_effect'
+
+
 class LoadVersion:
     """Order the worker to load layers from its staged pieces.
 
+    The reply is an OrderEffect. The failure ENGINE_OUTCOME_UNKNOWN says that
+    the worker may still accept the order.
+
     The worker first completes the requests that are running, or cuts them off
     if may_truncate is set. The order is not sent after send_by_s, on the
     boot-time clock.
@@ -131,6 +144,7 @@
     """Report the load and the loaded layers of a worker."""
 
     __slots__ = (
+        'accepted_orders',
         'active',
         'has_order_in_progress',
         'is_leaving',
@@ -147,7 +161,10 @@
         started_ms: int,
         loaded: tuple[LoadedLayers, ...],
         is_leaving: bool = False,
+        accepted_orders: int = 0,
     ) -> None:
+        # How many orders the worker has begun since its start.
+        self.accepted_orders = accepted_orders
         # Whether the worker states that it shuts down.
         self.is_leaving = is_leaving
         self.active = active
--- a/apricotpin/platform/http_client.py
+++ b/apricotpin/platform/http_client.py
@@ -13,6 +13,7 @@
     PooledHttpClient,
     RequestLimits,
 )
+from apricotpin.helpers.exchange import Verdict
 from apricotpin.platform.entries import DECODE_ERRORS
 
 # A worker may delay a request while it is full; a piece of 32 KiB from the
@@ -24,6 +25,8 @@
 # The largest response is the manifest of 60,000 pieces; a piece has 32 KiB,
 # a report less. An agent has 168 MB of memory and uses five connections.
 RESPONSE_MAX_BYTES: Final = 4194304
+# No byte of the request was sent.
+_VERDICTS_NOT_SENT: Final = (Verdict.CONNECT_FAILED, Verdict.START_OVERDUE)
 
 
 class PlatformHttpClient:
@@ -52,12 +55,18 @@
         content_type: str = 'application/octet-stream',
         send_by_s: float = math.inf,
     ) -> Result[HttpResponse, Failure]:
-        """Send a request and return the complete response of any status."""
+        """Send a request and return the complete response of any status.
+
+        A write that was sent and got no complete response fails with
+        ENGINE_OUTCOME_UNKNOWN.
+        """
         request = HttpRequest(method, path, body, content_type, send_by_s)
+        # The caller of a write has to know that an attempt may yet take effect.
+        request.is_repeatable = method == 'GET'
         outcome = self._client.call(request)
         return outcome.map_err(
             lambda verdict: Failure(
-                self._kind,
+                self._failure_kind(request, verdict),
                 f'{method} {path}: {verdict.value}',
             ),
         )
@@ -66,6 +75,13 @@
         """Close all connections."""
         self._client.close()
 
+    def _failure_kind(
+        self, request: HttpRequest, verdict: Verdict
+    ) -> ErrorKind:
+        if request.is_repeatable or verdict in _VERDICTS_NOT_SENT:
+            return self._kind
+        return ErrorKind.ENGINE_OUTCOME_UNKNOWN
+
 
 def decode_expected(
     outcome: Result[HttpResponse, Failure],
--- a/apricotpin/platform/worker.py
+++ b/apricotpin/platform/worker.py
@@ -2,6 +2,8 @@
 
 import json
 import types
+from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any, Final
 
 from result import Result
@@ -11,6 +13,7 @@
 from apricotpin.helpers.http import HttpResponse
 from apricotpin.messages.pieces import (
     LoadVersion,
+    OrderEffect,
     ReadStagedPiece,
     ReadWorkerReport,
     StagePiece,
@@ -22,7 +25,10 @@
 from apricotpin.platform.worker_documents import decode_loaded_layers
 
 _CONNECTIONS: Final = 4
-_STATUSES_ACCEPTED: Final = (200, 202)
+_EFFECTS: Final = types.MappingProxyType(
+    {200: OrderEffect.IN_EFFECT, 202: OrderEffect.BEGUN}
+)
+_STATUSES_STAGED: Final = (200, 201, 202, 204)
 _STATUS_MISSING: Final = 404
 _STATUSES_STAGED_OR_MISSING: Final = (200, _STATUS_MISSING)
 
@@ -76,6 +82,7 @@
         started_ms=int(fields.get('born', 0)),
         loaded=decode_loaded_layers(fields) or (),
         is_leaving=states_leaving(response.headers),
+        accepted_orders=int(fields.get('sequence', 0)),
     )
 
 
@@ -87,11 +94,10 @@
         model=message.model,
         index=message.index,
     )
-    return decode_expected(
+    return _decode_write(
         client.call('PUT', path, message.content, send_by_s=message.send_by_s),
         lambda _response: None,
-        ErrorKind.ENGINE_REFUSED,
-        (200, 201, 202, 204),
+        _STATUSES_STAGED,
     )
 
 
@@ -130,7 +136,7 @@
         'source': message.part.start,
         'to': message.part.end,
     }
-    return decode_expected(
+    return _decode_write(
         client.call(
             'POST',
             names.PATH_ORDER,
@@ -138,12 +144,24 @@
             'application/json',
             message.send_by_s,
         ),
-        lambda response: response.status,
-        ErrorKind.ENGINE_REFUSED,
-        _STATUSES_ACCEPTED,
+        lambda response: _EFFECTS[response.status],
+        tuple(_EFFECTS),
     )
 
 
+def _decode_write(
+    outcome: Result[HttpResponse, Failure],
+    decode: Callable[[HttpResponse], Any],
+    statuses: tuple[int, ...],
+) -> Result[Any, Failure]:
+    """Decode the response to a write; only statuses below 500 refuse it."""
+    status = outcome.map(lambda response: response.status).unwrap_or(0)
+    kind = ErrorKind.ENGINE_REFUSED
+    if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        kind = ErrorKind.ENGINE_OUTCOME_UNKNOWN
+    return decode_expected(outcome, decode, kind, statuses)
+
+
 _ACTIONS: Final = types.MappingProxyType(
     {
         StagePiece: _stage_piece,
