Stage no pieces of another version while an order may take effect

An agent gave an order up after 2 s of silence, took it for refused and staged the next version; the late order loaded those pieces as the older version. A copy that was given up could replace a piece after the check of another version, and a new agent knew of no call of the one before.

Orders now carry the number of orders that the worker had begun in the report before them. An order without a response is open until a report shows a higher number, the worker restarts, or a repeated order with the same condition is accepted; until then only steps of its version run. A copy without a response delays orders of other versions that load its piece by CALL_SETTLE_S; they are checked again afterwards. An agent that follows another one stages nothing for that time, unless the worker started after it or has nothing staged and has begun no order. Loads that may have taken a late copy or a late order are verified against the staged pieces, and layers that are bad or that no order explains are reported as no version.

--- a/apricotpin/components/installer/const.py
+++ b/apricotpin/components/installer/const.py
@@ -95,6 +95,10 @@
 # A load order that had no effect after this time is given again.
 ORDER_EFFECT_TIMEOUT_S: Final = 6.0
 CALL_TIMEOUT_S: Final = 4.0
+# A copy of a piece without a response may take effect for this long, as may
+# the calls of an earlier agent. The HTTP client gives a call up after at most
+# 5 s; the rest is left for a worker that stalls with a call that it received.
+CALL_SETTLE_S: Final = 10.0
 # How often the store is read for entry hosts while none has sent a hello.
 FIND_ENTRY_HOSTS_INTERVAL_S: Final = 0.7
 STORE_TIMEOUT_S: Final = 3.0
--- a/apricotpin/components/installer/decisions.py
+++ b/apricotpin/components/installer/decisions.py
@@ -22,7 +22,8 @@
     """Name the next step to load a version into the worker.
 
     SCAN looks for pieces that are staged already, STAGE copies fetched pieces
-    to the worker, CHECK verifies the staged pieces, START orders the load.
+    to the worker, CHECK verifies the staged pieces, START orders the load,
+    VERIFY reads the staged pieces after a load.
     """
 
     WAIT = 'wait'
@@ -30,6 +31,7 @@
     STAGE = 'stage'
     CHECK = 'check'
     START = 'start'
+    VERIFY = 'verify'
 
 
 def update_worker(
--- a/apricotpin/components/installer/events.py
+++ b/apricotpin/components/installer/events.py
@@ -4,9 +4,10 @@
 
 from apricotpin.components.installer import const
 from apricotpin.components.installer.decisions import LoadStep
+from apricotpin.components.installer.open_calls import OpenOrder
 from apricotpin.components.installer.state import Install
 from apricotpin.errors import Failure
-from apricotpin.messages.pieces import LayerRange, WorkerReport
+from apricotpin.messages.pieces import LayerRange, OrderEffect, WorkerReport
 
 
 class ReportRead:
@@ -90,14 +91,13 @@
     part is the layers that a check or a load order concerns. pieces maps the
     indexes of the pieces to copy to their content. started_s is when the step
     was assigned, and a load order is not sent after send_by_s, both on the
-    boot-time clock. accepted_orders is how many orders the worker had begun by
-    the last report.
+    boot-time clock. order is the load order to give.
     """
 
     __slots__ = (
-        'accepted_orders',
         'digests',
         'install',
+        'order',
         'part',
         'pieces',
         'send_by_s',
@@ -120,16 +120,28 @@
         self.digests = tuple(install.pieces.digests)
         self.pieces = pieces
         self.send_by_s: float = 0
-        self.accepted_orders = 0
+        self.order: OpenOrder | None = None
 
 
 class LoadJobDone:
     """Carry the outcome of a load step.
 
     pieces maps the indexes that the step found or staged to their content.
+    has_copied: the step wrote pieces to the worker, or tried. unanswered are
+    the indexes of copies without a response. found_staged: a
+    scan found staged pieces, of this or another version. order_reply is the
+    worker's reply to a load order.
     """
 
-    __slots__ = ('job', 'pieces', 'succeeded')
+    __slots__ = (
+        'found_staged',
+        'has_copied',
+        'job',
+        'order_reply',
+        'pieces',
+        'succeeded',
+        'unanswered',
+    )
 
     def __init__(
         self,
@@ -140,6 +152,10 @@
         self.job = job
         self.succeeded = succeeded
         self.pieces = pieces
+        self.unanswered: tuple[int, ...] = ()
+        self.found_staged = True
+        self.has_copied = False
+        self.order_reply: Result[OrderEffect, Failure] | None = None
 
 
 class CanShareVersion:
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -8,7 +8,9 @@
     checks,
     const,
     decisions,
+    load_steps,
     manifests,
+    open_calls,
     switching,
 )
 from apricotpin.components.installer.entry_hosts import EntryHosts
@@ -22,6 +24,7 @@
     PieceFetched,
     ReportRead,
 )
+from apricotpin.components.installer.loaded_weights import LoadedWeights
 from apricotpin.components.installer.state import Install, WorkerState
 from apricotpin.components.installer.versions import Versions
 from apricotpin.const import SERVICE_PRESENCE
@@ -40,8 +43,9 @@
 class InstallerService:
     """Assign fetch and load jobs to the installer's tasks.
 
-    Owns the versions to install, the last state of the worker, and the
-    replies to tasks that wait for a job.
+    Owns the versions to install, the last state of the worker, the
+    calls of the worker that may still take effect, and the replies to tasks
+    that wait for a job.
     """
 
     __slots__ = (
@@ -50,8 +54,10 @@
         '_fetchers',
         '_kernel',
         '_loaders',
+        '_open_calls',
         '_settings',
         '_versions',
+        '_weights',
         '_worker',
     )
 
@@ -62,6 +68,10 @@
         self._settings = settings
         self._entry_hosts = EntryHosts(settings.data_centre)
         self._worker = WorkerState()
+        self._weights = LoadedWeights()
+        self._open_calls = open_calls.OpenCalls()
+        if not settings.is_first_start:
+            self._open_calls.expect_earlier_agent(time.monotonic())
         self._versions = Versions(
             settings.data_centre,
             settings.limits.version_limit_s,
@@ -136,6 +146,7 @@
         install = message.job.install
         step = message.job.step
         now_s = time.monotonic()
+        load_steps.record_calls(self._open_calls, self._weights, message, now_s)
         if step is decisions.LoadStep.SCAN:
             decisions.record_scan(
                 install, message.pieces, message.succeeded, now_s
@@ -166,6 +177,9 @@
                 self._versions.current,
                 message.model,
                 message.version,
+            )
+            and not open_calls.has_open_copy(
+                self._open_calls, message.version, time.monotonic()
             ),
         )
 
@@ -174,7 +188,9 @@
         return decisions.build_load_report(
             self._settings,
             self._worker,
-            self._versions.current,
+            open_calls.install_to_load(
+                self._open_calls, self._versions.current
+            ),
             time.monotonic(),
         )
 
@@ -184,6 +200,9 @@
         before = (worker.version, worker.layers_end)
         layers = 0 if install is None else install.pieces.layers
         restarted = decisions.update_worker(worker, report, layers)
+        load_steps.apply_report(
+            self._open_calls, self._weights, worker, install, restarted
+        )
         if not was_reachable:
             logger.bind(dependency='worker').info('dependency_regained')
         if (worker.version, worker.layers_end) != before:
@@ -240,10 +259,16 @@
         switching.update_draining(install, self._worker, now_s)
         self._assign_fetch_jobs(now_s)
         if self._loaders:
-            step = decisions.next_step(install, self._worker, now_s)
-            if step is not decisions.LoadStep.WAIT:
-                loader = self._loaders.pop()
-                loader.ok(_build_load_job(install, step, self._worker, now_s))
+            step, install = load_steps.select_step(
+                self._open_calls, self._weights, self._worker, install, now_s
+            )
+            if step is decisions.LoadStep.WAIT:
+                return
+            job = _build_load_job(install, step, self._worker, now_s)
+            load_steps.prepare_job(
+                self._open_calls, self._weights, self._worker, job
+            )
+            self._loaders.pop().ok(job)
 
     def _detect_suspension(self, install: Install) -> None:
         """Have staged pieces checked again after a suspension of the host.
@@ -366,8 +391,6 @@
         indexes = checks.piece_indexes(install.pieces, part)
         pieces = {index: content[index] for index in indexes}
     job = LoadJob(step, install, part, pieces, clocks.boot_time_s())
-    if worker.report is not None:
-        job.accepted_orders = worker.report.accepted_orders
     if step is decisions.LoadStep.START:
         left_s = checks.order_time_left_s(install.pieces.check, now_s)
         job.send_by_s = job.started_s + left_s
--- a/apricotpin/components/installer/tasks.py
+++ b/apricotpin/components/installer/tasks.py
@@ -165,19 +165,25 @@
         )
 
     found = {}
+    found_staged = False
     pool = Pool(const.PARALLEL_READS)
     for index, read in zip(indexes, pool.imap(read_piece, indexes)):
         if read.is_err():
             pool.kill()
             return LoadJobDone(job, False, {})
+        found_staged = found_staged or read.ok_value is not None
         if matches_sha256(read.ok_value, job.digests[index]):
             found[index] = read.ok_value
-    return LoadJobDone(job, True, found)
+    done = LoadJobDone(job, True, found)
+    done.found_staged = found_staged
+    return done
 
 
 def _stage(kernel: Kernel, job: LoadJob) -> LoadJobDone:
     """Copy verified pieces to the worker."""
-    staged = {}
+    staged: dict[int, bytes] = {}
+    done = LoadJobDone(job, False, staged)
+    done.has_copied = True
     for index, content in job.pieces.items():
         written = kernel.call(
             SERVICE_ENGINE,
@@ -190,18 +196,21 @@
             const.CALL_TIMEOUT_S,
         )
         if written.is_err():
-            event = 'piece_not_staged'
-            if open_calls.is_outcome_unknown(written.err_value):
-                event = 'piece_copy_unanswered'
+            is_unknown = open_calls.is_outcome_unknown(written.err_value)
+            event = (
+                'piece_copy_unanswered' if is_unknown else 'piece_not_staged'
+            )
             logger.bind(
                 model=job.install.model,
                 version=job.install.version,
                 index=index,
                 error=repr(written.err_value),
             ).warning(event)
-            return LoadJobDone(job, False, staged)
+            done.unanswered = (index,) if is_unknown else ()
+            return done
         staged[index] = content
-    return LoadJobDone(job, True, staged)
+    done.succeeded = True
+    return done
 
 
 def _check(kernel: Kernel, job: LoadJob) -> LoadJobDone:
@@ -219,11 +228,19 @@
         return scanned
     if corrupt:
         logger.bind(pieces=len(corrupt)).warning('staged_pieces_bad')
-        _stage(kernel, LoadJob(LoadStep.STAGE, job.install, job.part, corrupt))
-        return LoadJobDone(job, False, {})
+        repair = LoadJob(LoadStep.STAGE, job.install, job.part, corrupt)
+        done = LoadJobDone(job, False, {})
+        done.has_copied = True
+        done.unanswered = _stage(kernel, repair).unanswered
+        return done
     return LoadJobDone(job, True, {})
 
 
+def _verify(kernel: Kernel, job: LoadJob) -> LoadJobDone:
+    """Read the staged pieces that loaded layers may consist of."""
+    return _read_staged(kernel, job, job.pieces)
+
+
 def _start(kernel: Kernel, job: LoadJob) -> LoadJobDone:
     """Order the worker to load the checked pieces."""
     install = job.install
@@ -234,6 +251,7 @@
             install.version,
             job.part,
             job.send_by_s,
+            job.order.expected_orders,
             install.may_truncate,
         ),
         const.CALL_TIMEOUT_S,
@@ -243,16 +261,18 @@
         version=install.version,
         layers=f'{job.part.start}-{job.part.end}',
         turn=install.turn,
-        accepted_orders=job.accepted_orders,
+        accepted_orders=job.order.expected_orders,
     )
     if started.is_err():
         event = 'order_refused'
         if open_calls.is_outcome_unknown(started.err_value):
             event = 'order_unanswered'
         bound.bind(error=repr(started.err_value)).warning(event)
-        return LoadJobDone(job, False, {})
-    bound.info('order_given')
-    return LoadJobDone(job, True, {})
+    else:
+        bound.bind(effect=started.ok_value.value).info('order_given')
+    done = LoadJobDone(job, started.is_ok(), {})
+    done.order_reply = started
+    return done
 
 
 _STEPS: Final = types.MappingProxyType(
@@ -261,5 +281,6 @@
         LoadStep.STAGE: _stage,
         LoadStep.CHECK: _check,
         LoadStep.START: _start,
+        LoadStep.VERIFY: _verify,
     }
 )
--- a/apricotpin/messages/pieces.py
+++ b/apricotpin/messages/pieces.py
@@ -108,10 +108,12 @@
 
     The worker first completes the requests that are running, or cuts them off
     if may_truncate is set. The order is not sent after send_by_s, on the
-    boot-time clock.
+    boot-time clock. The worker refuses it unless it has begun expected_orders
+    orders since its start.
     """
 
     __slots__ = (
+        'expected_orders',
         'may_truncate',
         'model',
         'part',
@@ -125,8 +127,10 @@
         version: int,
         part: LayerRange,
         send_by_s: float,
+        expected_orders: int,
         may_truncate: bool = False,
     ) -> None:
+        self.expected_orders = expected_orders
         self.may_truncate = may_truncate
         self.model = model
         self.version = version
--- a/apricotpin/platform/worker.py
+++ b/apricotpin/platform/worker.py
@@ -135,6 +135,7 @@
         # source is the first layer, and to the one after the last.
         'source': message.part.start,
         'to': message.part.end,
+        'precondition': message.expected_orders,
     }
     return _decode_write(
         client.call(
