--- a/tests/components/installer/late_calls.feature
+++ b/tests/components/installer/late_calls.feature
@@ -26,3 +26,31 @@
     Then the worker has version 3 loaded within 14 s
     And the worker never loaded pieces of another version
     And no entry host was told a version that was not loaded right
+
+  Scenario Outline: a worker responds with <answer>: the order is <order>
+    # What is taken for refused, but takes effect later, loads wrong pieces.
+    Given a worker that responds to each call with <answer>
+    When the agent sends it an order and a copy
+    Then the order is <order> and the copy is <copy>
+
+    Examples:
+      | answer               | order                  | copy                   |
+      | 202                  | begun                  | done                   |
+      | 200                  | in_effect              | done                   |
+      | 400                  | engine_refused         | engine_refused         |
+      | 409                  | engine_refused         | engine_refused         |
+      | 412                  | engine_refused         | engine_refused         |
+      | 421                  | engine_refused         | engine_refused         |
+      | 500                  | engine_outcome_unknown | engine_outcome_unknown |
+      | 503                  | engine_outcome_unknown | engine_outcome_unknown |
+      | nothing              | engine_outcome_unknown | engine_outcome_unknown |
+      | a reset              | engine_outcome_unknown | engine_outcome_unknown |
+      | a part of a response | engine_outcome_unknown | engine_outcome_unknown |
+      | a refused connection | engine_unavailable     | engine_unavailable     |
+
+  Scenario: a copy whose connection is reset is not repeated unseen
+    # Both copies could take effect, and only the second would be known.
+    Given a worker that responds to each call with 202 on its second use, then a reset
+    When the agent sends it two copies on one connection
+    Then the order is done and the copy is engine_outcome_unknown
+    And the worker received 2 calls
