Keep a silent attempt until another one has responded

Callers lost responses whose workers went on: a repeatable request ended its attempt at a worker that was silent for over 1 s (1.3 s before a stream's first event, 0.4 of the remaining time for idempotent requests), and only then asked dispatch for another worker. If all were full or missing, the retry budget was empty or the second worker refused or failed, the caller's stream was closed in the middle, or the request ended as 502.

Now the attempt stays open up to its own deadline. Exchange calls a handler at a silence, and the handler of the gateway asks dispatch for another worker with the reason "silent". If one is selected, an attempt runs there in a task of its own, with its own copy of the request's progress. The first that delivers wins: if the silent worker goes on, the hedges end as "superseded", which is no failure of their workers; if a hedge has its first events or its whole response, the silent attempt ends as "silent" and its incomplete event is dropped. An event id counts as passed on only in the task of the request, so that no event is missing or doubled. Open attempts count against max_attempts, and a request that may run once is never hedged. START_OVERDUE still ends an attempt.

A selection that was not sent because the request was killed gives its connection back. A broken stream is retried for the reason that ended it and no longer for "answered"; stream_resumed logs the last event before the resumption.

--- a/apricotpin/components/dispatch/health.py
+++ b/apricotpin/components/dispatch/health.py
@@ -122,6 +122,7 @@
         Verdict.BUSY,
         Verdict.CALLER_LEFT,
         Verdict.START_OVERDUE,
+        Verdict.SUPERSEDED,
     }
     is_switching = upstream.report is not None and upstream.report.switching
     failed = verdict not in not_failures and not is_switching
--- a/apricotpin/components/gateway/application.py
+++ b/apricotpin/components/gateway/application.py
@@ -16,6 +16,7 @@
 from apricotpin.components.gateway import (
     attempts,
     decisions,
+    hedging,
     log_lines,
     serving,
 )
@@ -108,7 +109,8 @@
         if self._watch is not None:
             self._watch.stop()
         if self._context is not None:
-            attempts.cancel_attempt(self._context)
+            attempts.cancel_attempt(self._context, Verdict.CALLER_LEFT)
+            hedging.end_all(self._context)
         self._unregister()
         self._kernel.send(
             SERVICE_METRICS,
@@ -168,7 +170,7 @@
             return
         # From now on the greenlet serves other requests of the connection.
         self._interrupted.unlink(self._interrupt)
-        ticket = '' if self._context is None else self._context.ticket
+        ticket = '' if self._context is None else self._context.memory.ticket
         self._kernel.send(
             SERVICE_GATEWAY, UnregisterRequest(self._interrupted, ticket)
         )
--- a/apricotpin/components/gateway/attempts.py
+++ b/apricotpin/components/gateway/attempts.py
@@ -8,8 +8,8 @@
 
 from apricotpin.components.gateway import (
     bodies,
-    const,
     decisions,
+    heads,
     log_lines,
     prompts,
     responses,
@@ -24,7 +24,6 @@
 from apricotpin.messages.metrics import Observe
 from apricotpin.messages.upstreams import (
     AttemptDone,
-    AvailabilityStated,
     CancelSelection,
     SelectUpstream,
     SelectedUpstream,
@@ -67,10 +66,9 @@
 
 
 def run_attempt(context: RequestContext, upstream: SelectedUpstream) -> Attempt:
-    """Send the request and read the whole body, or a stream's first events."""
+    """Make an attempt up to its first part, and record its verdict."""
     attempt = Attempt(upstream)
-    context.current_attempt = attempt
-    attempt.verdict = _send_and_read(context, attempt)
+    read_first_part(context, attempt)
     decisions.record_attempt(
         context.progress,
         upstream.instance_id,
@@ -82,6 +80,12 @@
     return attempt
 
 
+def read_first_part(context: RequestContext, attempt: Attempt) -> None:
+    """Send the request and read the whole body, or a stream's first events."""
+    context.open_attempts.current = attempt
+    attempt.verdict = _send_and_read(context, attempt)
+
+
 def read_events(
     context: RequestContext, attempt: Attempt
 ) -> Result[bytes, Verdict]:
@@ -89,6 +93,7 @@
     splitter = attempt.splitter
     # Only a complete event restarts the silence limit, since an upstream may
     # send parts of one event without end.
+    context.open_attempts.silent_since_s = time.monotonic()
     silence_deadline_s = attempt.exchange.silence_deadline_s()
     while True:
         part = attempt.exchange.read_body_part(silence_deadline_s)
@@ -111,10 +116,13 @@
     context: RequestContext, attempt: Attempt, verdict: Verdict
 ) -> None:
     """Return the upstream to dispatch, with its connection if reusable."""
-    context.current_attempt = None
+    context.open_attempts.current = None
     prompts.report_end(context, attempt, verdict)
-    exchange, connection, idle_s = attempt.exchange, None, None
+    # Without an exchange the connection of the selection was not used.
+    connection, idle_s = attempt.upstream.connection, None
+    exchange = attempt.exchange
     if exchange is not None:
+        connection = None
         if verdict in {Verdict.ANSWERED, Verdict.UPSTREAM_ERROR, Verdict.BUSY}:
             connection = exchange.release()
         if connection is None:
@@ -135,10 +143,10 @@
         log_lines.log_failed_attempt(context, attempt, verdict)
 
 
-def cancel_attempt(context: RequestContext) -> None:
+def cancel_attempt(context: RequestContext, verdict: Verdict) -> None:
     """Cancel the attempt in progress, if any."""
-    if context.current_attempt is not None:
-        end_attempt(context, context.current_attempt, Verdict.CALLER_LEFT)
+    if context.open_attempts.current is not None:
+        end_attempt(context, context.open_attempts.current, verdict)
 
 
 def _send_and_read(context: RequestContext, attempt: Attempt) -> Verdict:
@@ -159,13 +167,15 @@
         ),
         is_reused,
     )
+    context.handle_silence(attempt.exchange)
     if attempt.time_left_to_start_s() <= 0:
         return Verdict.START_OVERDUE
     if context.before_send is not None:
         context.before_send()
     attempt.sent_s = time.monotonic()
+    context.open_attempts.silent_since_s = attempt.sent_s
     failed = attempt.exchange.send(_encode(context, attempt.upstream))
-    failed = failed or _read_own_head(context, attempt)
+    failed = failed or heads.read_own_head(context, attempt)
     verdict = failed or _read_response(context, attempt)
     if verdict is Verdict.SILENT and _is_overdue(context, attempt):
         return Verdict.START_OVERDUE
@@ -194,48 +204,6 @@
     )
 
 
-def _read_own_head(context: RequestContext, attempt: Attempt) -> Verdict | None:
-    """Read the head of the response, and discard responses before it.
-
-    A worker may send the response to an earlier request once more, late.
-    """
-    exchange, progress = attempt.exchange, context.progress
-    failed = _read_head(context, attempt)
-    for _ in range(const.EARLIER_RESPONSES_MAX):
-        if failed or not _is_to_earlier(context, attempt):
-            break
-        exchange.set_silence_timeout(
-            decisions.own_response_wait_s(progress, time.monotonic())
-        )
-        failed = exchange.skip_response(const.EARLIER_RESPONSE_MAX_BYTES)
-        failed = failed or _read_head(context, attempt)
-        if failed is Verdict.SILENT:
-            return Verdict.MISMATCHED
-    exchange.accept_response()
-    exchange.set_silence_timeout(
-        decisions.silence_timeout_s(progress, time.monotonic())
-    )
-    return failed
-
-
-def _read_head(context: RequestContext, attempt: Attempt) -> Verdict | None:
-    failed = attempt.exchange.read_head()
-    if failed:
-        return failed
-    parser = attempt.exchange.parser
-    attempt.head = context.codec.decode_response(
-        parser.get_code(),
-        list(parser.items()),
-    )
-    return None
-
-
-def _is_to_earlier(context: RequestContext, attempt: Attempt) -> bool:
-    return responses.is_to_earlier(
-        attempt.head, context.head.request_id, attempt.exchange.reused
-    )
-
-
 def _read_response(context: RequestContext, attempt: Attempt) -> Verdict:
     verdict = responses.classify_head(
         attempt.head,
@@ -243,7 +211,7 @@
         attempt.upstream.instance_id,
         attempt.exchange.reused,
     )
-    _report_availability(context, attempt)
+    heads.report_availability(context, attempt)
     if verdict is Verdict.ANSWERED:
         is_stream = context.resolved.route.kind is RouteKind.STREAM
         if is_stream and responses.is_event_stream(attempt.head):
@@ -253,23 +221,6 @@
     return _read_body(context, attempt, verdict)
 
 
-def _report_availability(context: RequestContext, attempt: Attempt) -> None:
-    """Tell dispatch at once what a response head states about new requests.
-
-    That concerns the worker and not one request, so it also holds in a
-    response that belongs to another request.
-    """
-    head, upstream = attempt.head, attempt.upstream
-    if not head.is_leaving and not head.pause_s:
-        return
-    if responses.is_from_another_instance(head, upstream.instance_id):
-        return
-    context.kernel.send(
-        SERVICE_DISPATCH,
-        AvailabilityStated(upstream.ticket, head.is_leaving, head.pause_s),
-    )
-
-
 def _start_stream(context: RequestContext, attempt: Attempt) -> Verdict:
     attempt.splitter = EventSplitter()
     events = read_events(context, attempt)
--- a/apricotpin/components/gateway/bodies.py
+++ b/apricotpin/components/gateway/bodies.py
@@ -56,6 +56,7 @@
 
 def discard_refusal_body(exchange: Exchange) -> None:
     """Read and discard the body of a refusal to keep its connection."""
+    exchange.set_silence_handler(None)
     exchange.set_silence_timeout(const.REFUSAL_READ_S)
     exchange.read_all(
         const.REFUSAL_BODY_MAX_BYTES, exchange.silence_deadline_s()
@@ -73,14 +74,14 @@
     if size_bytes > const.RESPONSE_BODY_MAX_BYTES:
         return False
     if size_bytes <= max(
-        const.RESPONSE_UNRESERVED_MAX_BYTES, context.reserved_bytes
+        const.RESPONSE_UNRESERVED_MAX_BYTES, context.memory.reserved_bytes
     ):
         return True
     steps = -(-size_bytes // const.RESPONSE_MEMORY_STEP_BYTES)
     total_bytes = steps * const.RESPONSE_MEMORY_STEP_BYTES
     reserved = context.kernel.call(
         SERVICE_GATEWAY,
-        ReserveResponseMemory(context.ticket, total_bytes),
+        ReserveResponseMemory(context.memory.ticket, total_bytes),
     )
     if reserved.is_err():
         logger.bind(
@@ -89,5 +90,5 @@
             cause=reserved.err_value.kind.value,
         ).warning('response_memory_not_reserved')
         return False
-    context.reserved_bytes = total_bytes
+    context.memory.reserved_bytes = total_bytes
     return True
--- a/apricotpin/components/gateway/decisions.py
+++ b/apricotpin/components/gateway/decisions.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from apricotpin.components.gateway import const
+from apricotpin.components.gateway import const, silences
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.helpers.exchange import Verdict
 from apricotpin.messages.desired import Route, RouteKind
@@ -181,11 +181,7 @@
     remaining_s = max(const.MIN_TIME_LEFT_S, progress.deadline_s - now_s)
     if not may_retry_later(progress):
         return remaining_s
-    if progress.route.kind is RouteKind.STREAM:
-        goal_s = progress.route.latency_goal_s * const.SILENCE_GOAL_FACTOR
-        silence_s = max(const.FIRST_EVENT_SILENCE_TIMEOUT_S, goal_s)
-        return min(remaining_s, silence_s)
-    return remaining_s * const.IDEMPOTENT_SILENCE_SHARE
+    return silences.before_first_part_s(progress.route, remaining_s)
 
 
 def own_response_wait_s(progress: Progress, now_s: float) -> float:
@@ -202,8 +198,7 @@
     """
     if not may_retry_later(progress):
         return max(const.MIN_TIME_LEFT_S, progress.deadline_s - now_s)
-    goal_s = progress.route.event_gap_goal_s * const.SILENCE_GOAL_FACTOR
-    return max(const.EVENT_SILENCE_TIMEOUT_S, goal_s)
+    return silences.between_events_s(progress.route)
 
 
 def first_event_deadline_s(
--- a/apricotpin/components/gateway/log_lines.py
+++ b/apricotpin/components/gateway/log_lines.py
@@ -42,6 +42,7 @@
     context: RequestContext, attempt: Attempt, verdict: Verdict
 ) -> None:
     """Log why an attempt gave no response that can be delivered."""
+    is_superseded = verdict is Verdict.SUPERSEDED
     logger.bind(
         id=context.head.request_id,
         instance=attempt.upstream.instance_id,
@@ -51,7 +52,31 @@
         status=0 if attempt.head is None else attempt.head.status,
         left_ms=_left_ms(context),
         **attempt_fields(attempt),
-    ).info('attempt_failed')
+    ).info('attempt_superseded' if is_superseded else 'attempt_failed')
+
+
+def log_silence(context: RequestContext, attempt: Attempt, found: str) -> None:
+    """Log a silence, and the other worker or why none was found."""
+    logger.bind(
+        id=context.head.request_id,
+        instance=attempt.upstream.instance_id,
+        silent_ms=_ms(time.monotonic() - context.open_attempts.silent_since_s),
+        after_event=context.progress.last_event_id,
+        left_ms=_left_ms(context),
+        found=found,
+    ).info('attempt_silent')
+
+
+def log_resumption(
+    context: RequestContext, attempt: Attempt, after_event: str
+) -> None:
+    """Log that another worker continues a stream after an event."""
+    logger.bind(
+        id=context.head.request_id,
+        instance=attempt.upstream.instance_id,
+        after_event=after_event,
+        **attempt_fields(attempt),
+    ).info('stream_resumed')
 
 
 def attempt_fields(attempt: Attempt) -> dict[str, int]:
@@ -69,13 +94,14 @@
 def incomplete_fields(context: RequestContext, cause: str) -> dict[str, Any]:
     """Return why and when a response ended before it was complete.
 
-    has_worker: an attempt was still in progress.
+    has_worker: at least one attempt was still in progress.
     """
     return {
         'cause': cause,
         'left_ms': _left_ms(context),
         'after_event': context.progress.last_event_id,
-        'has_worker': context.current_attempt is not None,
+        'has_worker': context.open_attempts.current is not None
+        or bool(context.open_attempts.hedges),
     }
 
 
--- a/apricotpin/components/gateway/serving.py
+++ b/apricotpin/components/gateway/serving.py
@@ -12,6 +12,7 @@
     attempts,
     const,
     decisions,
+    hedging,
     log_lines,
     prompts,
 )
@@ -59,16 +60,11 @@
         head.last_event_id,
     )
     kernel.send(SERVICE_DISPATCH, CountRequest(resolved.ok_value.service))
-    return Ok(
-        RequestContext(
-            kernel,
-            codec,
-            head,
-            resolved.ok_value,
-            body,
-            progress,
-        ),
+    context = RequestContext(
+        kernel, codec, head, resolved.ok_value, body, progress
     )
+    context.open_attempts.on_silence = hedging.wait_in_silence
+    return Ok(context)
 
 
 def run_attempts(context: RequestContext) -> Result[Attempt, Failure]:
@@ -80,7 +76,9 @@
         selected = attempts.select_upstream(context)
         if selected.is_err():
             return Err(_classify_failure(context, selected.err_value))
-        attempt = attempts.run_attempt(context, selected.ok_value)
+        attempt = hedging.settle(
+            context, attempts.run_attempt(context, selected.ok_value)
+        )
         action = decisions.next_action(
             context.progress,
             attempt.verdict,
@@ -100,17 +98,36 @@
     while True:
         events = attempts.read_events(context, attempt)
         if events.is_err():
-            attempts.end_attempt(context, attempt, events.err_value)
-            attempt = _resume_stream(context, events.err_value)
+            attempt = _resume_stream(context, attempt, events.err_value)
             yield attempt.first_part
-        elif events.ok_value:
+            continue
+        # The hedges were asked for events that the caller has now.
+        hedging.end_silence(context, attempt)
+        if events.ok_value:
             yield events.ok_value
         else:
             attempts.end_attempt(context, attempt, Verdict.ANSWERED)
             return
 
 
-def _resume_stream(context: RequestContext, ended_by: Verdict) -> Attempt:
+def _resume_stream(
+    context: RequestContext, ended: Attempt, ended_by: Verdict
+) -> Attempt:
+    after_event = context.progress.last_event_id
+    attempts.end_attempt(context, ended, ended_by)
+    context.progress.retry_reason = ended_by.value
+    resumed = hedging.wait_for_hedges(context)
+    if resumed is None:
+        resumed = _run_next_attempts(context, ended_by)
+    if resumed.splitter is None:
+        raise IncompleteResponse(
+            f'{ended_by.value}, then {Verdict.NOT_A_STREAM.value}'
+        )
+    log_lines.log_resumption(context, resumed, after_event)
+    return resumed
+
+
+def _run_next_attempts(context: RequestContext, ended_by: Verdict) -> Attempt:
     if not decisions.may_retry(context.progress, time.monotonic()):
         raise IncompleteResponse(f'{ended_by.value}, no attempt may follow')
     resumed = run_attempts(context)
@@ -118,16 +135,6 @@
         raise IncompleteResponse(
             f'{ended_by.value}, then {resumed.err_value!r}'
         )
-    if resumed.ok_value.splitter is None:
-        raise IncompleteResponse(
-            f'{ended_by.value}, then {Verdict.NOT_A_STREAM.value}'
-        )
-    logger.bind(
-        id=context.head.request_id,
-        instance=resumed.ok_value.upstream.instance_id,
-        after_event=context.progress.last_event_id,
-        **log_lines.attempt_fields(resumed.ok_value),
-    ).info('stream_resumed')
     return resumed.ok_value
 
 
@@ -139,8 +146,11 @@
     cause = Failure(ErrorKind.STOPPING, 'this entry host stops now')
     if context is None:
         return cause
-    attempt = context.current_attempt
-    is_sent = attempt is not None and attempt.sent
+    attempt = context.open_attempts.current
+    # An attempt is hedged only once it was sent.
+    is_sent = (
+        attempt is not None and attempt.sent or context.open_attempts.hedges
+    )
     if is_sent or context.progress.may_have_run:
         return Failure(ErrorKind.TIMEOUT, cause.detail)
     return cause
--- a/apricotpin/components/gateway/state.py
+++ b/apricotpin/components/gateway/state.py
@@ -1,9 +1,13 @@
 """State of a request that is being forwarded and of one attempt at it."""
 
+import functools
 import uuid
 from collections.abc import Callable
 from typing import Any
 
+from gevent import Greenlet, socket
+from gevent.event import AsyncResult, Event
+
 from apricotpin.components.gateway import decisions
 from apricotpin.components.gateway.events import EventSplitter
 from apricotpin.core import Kernel
@@ -18,24 +22,73 @@
 from apricotpin.messages.upstreams import SelectedUpstream
 
 
-class RequestContext:
-    """Track one request while it is forwarded to upstreams.
+class ResponseMemory:
+    """Track the memory that the gateway service granted under a ticket."""
+
+    __slots__ = ('reserved_bytes', 'ticket')
+
+    def __init__(self) -> None:
+        self.ticket = uuid.uuid4().hex
+        self.reserved_bytes = 0
+
+
+class Hedge:
+    """Track an attempt that runs in its own task beside a silent one.
+
+    The task owns context and attempt until it ends. It ends the attempt itself
+    if the request has sent it a verdict for that by end_verdict.
+    """
+
+    __slots__ = ('attempt', 'context', 'end_verdict', 'greenlet')
+
+    def __init__(self, context: 'RequestContext', attempt: 'Attempt') -> None:
+        self.context = context
+        self.attempt = attempt
+        self.end_verdict = AsyncResult()
+        self.greenlet: Greenlet | None = None
+
 
-    ticket identifies it to the gateway service, which has granted
-    reserved_bytes of memory for its response.
+class OpenAttempts:
+    """Track the attempts at a request that are in progress.
+
+    current is the one that the request's task runs; on_silence is called when
+    its upstream is silent. Another upstream is asked for at ask_at_s, a reading
+    of the monotonic clock, 0 without a silence. silent_since_s is when the
+    current attempt was sent, or when the last events were passed on. activity
+    is set when a hedge ends or a silent connection can be read.
     """
 
+    __slots__ = (
+        'activity',
+        'ask_at_s',
+        'current',
+        'hedges',
+        'on_silence',
+        'silent_since_s',
+    )
+
+    def __init__(self) -> None:
+        self.current: Attempt | None = None
+        self.hedges: list[Hedge] = []
+        self.activity = Event()
+        self.ask_at_s: float = 0
+        self.silent_since_s: float = 0
+        self.on_silence: OnSilence | None = None
+
+
+class RequestContext:
+    """Track one request while it is forwarded to upstreams."""
+
     __slots__ = (
         'before_send',
         'body',
         'codec',
-        'current_attempt',
         'head',
         'kernel',
+        'memory',
+        'open_attempts',
         'progress',
-        'reserved_bytes',
         'resolved',
-        'ticket',
     )
 
     def __init__(
@@ -53,12 +106,17 @@
         self.resolved = resolved
         self.body = body
         self.progress = progress
-        self.current_attempt: Attempt | None = None
-        self.ticket = uuid.uuid4().hex
-        self.reserved_bytes = 0
+        self.open_attempts = OpenAttempts()
+        self.memory = ResponseMemory()
         # Called before each attempt sends the request.
         self.before_send: Callable[[], Any] | None = None
 
+    def handle_silence(self, exchange: Exchange) -> None:
+        """Count a silence of an exchange from now on, and handle the next."""
+        exchange.set_silence_handler(
+            functools.partial(self.open_attempts.on_silence, self)
+        )
+
 
 class Attempt:
     """Track one attempt at a request.
@@ -109,3 +167,8 @@
     def sent(self) -> bool:
         """Return whether a byte of the request was sent."""
         return self.exchange is not None and self.exchange.sent
+
+
+# Waits on the connection of a silent attempt, up to a deadline. Returns None
+# once bytes can be read, or the verdict that ends the attempt.
+OnSilence = Callable[[RequestContext, socket.socket, float], Verdict | None]
--- a/apricotpin/helpers/exchange.py
+++ b/apricotpin/helpers/exchange.py
@@ -3,6 +3,7 @@
 import enum
 import select
 import time
+from collections.abc import Callable
 from typing import Final
 
 from gevent import monkey, sleep, socket
@@ -21,6 +22,8 @@
 # polls sockets and timers. A sleep of 1 ms, the shortest that epoll supports,
 # lets them run.
 _YIELD_S: Final = 0.001
+# A time-out of 0 would make the socket non-blocking.
+_WAIT_MIN_S: Final = 0.001
 
 
 # The system call without gevent's patches, which would switch greenlets.
@@ -47,6 +50,13 @@
     # A stream that has begun was to be continued.
     NOT_A_STREAM = 'not_a_stream'
     CALLER_LEFT = 'caller_left'
+    # Another attempt at the same request has delivered first.
+    SUPERSEDED = 'superseded'
+
+
+# Waits on a silent connection, up to a deadline. Returns None once bytes can be
+# read, or the verdict that ends the exchange.
+SilenceHandler = Callable[[socket.socket, float], Verdict | None]
 
 
 class Exchange:
@@ -62,7 +72,9 @@
         '_connection',
         '_deadline_s',
         '_is_request_complete',
+        '_is_silent',
         '_method',
+        '_on_silence',
         '_received',
         '_silence_timeout_s',
     )
@@ -83,6 +95,8 @@
         self.reused = reused
         self.sent = False
         self._is_request_complete = False
+        self._is_silent = False
+        self._on_silence: SilenceHandler | None = None
         self._connection: socket.socket | None = connection
         self._silence_timeout_s = silence_timeout_s
         self._deadline_s = deadline_s
@@ -92,9 +106,18 @@
         self._deadline_s = deadline_s
 
     def set_silence_timeout(self, silence_timeout_s: float) -> None:
-        """Replace the time after which a silent upstream is given up."""
+        """Replace the time after which an upstream counts as silent."""
         self._silence_timeout_s = silence_timeout_s
 
+    def set_silence_handler(self, handler: SilenceHandler | None) -> None:
+        """Replace what follows a silence; without a handler it is the end.
+
+        Once a silence has begun, the handler is called before each read, until
+        it is set again.
+        """
+        self._is_silent = False
+        self._on_silence = handler
+
     def send(self, encoded: bytes) -> Verdict | None:
         """Send a request; return a verdict if not even one byte was sent."""
         self._connection.settimeout(self._silence_timeout_s)
@@ -232,13 +255,16 @@
 
     def _receive(self, on_end: Verdict, deadline_s: float) -> Verdict | None:
         wait_s = deadline_s - time.monotonic()
-        if wait_s <= 0:
-            return Verdict.SILENT
-        self._connection.settimeout(wait_s)
+        if self._is_silent or wait_s <= 0:
+            failed = self._wait_in_silence()
+            if failed:
+                return failed
+            wait_s = self._deadline_s - time.monotonic()
+        self._connection.settimeout(max(_WAIT_MIN_S, wait_s))
         try:
             received = self._connection.recv(RECEIVE_BYTES)
         except TimeoutError:
-            return Verdict.SILENT
+            return self._receive(on_end, time.monotonic())
         except OSError:
             return on_end
         if self._received is not None:
@@ -252,6 +278,12 @@
         ended = not received and not self.parser.message_complete
         return on_end if ended else None
 
+    def _wait_in_silence(self) -> Verdict | None:
+        if self._on_silence is None or time.monotonic() >= self._deadline_s:
+            return Verdict.SILENT
+        self._is_silent = True
+        return self._on_silence(self._connection, self._deadline_s)
+
 
 def connect(
     address: str,
--- a/apricotpin/helpers/sockets.py
+++ b/apricotpin/helpers/sockets.py
@@ -4,7 +4,8 @@
 import time
 from typing import Final
 
-from gevent import sleep, socket
+from gevent import get_hub, sleep, socket
+from gevent.event import Event
 
 # The connection ends if sent bytes are not acknowledged within this time.
 USER_TIMEOUT_MS: Final = 1500
@@ -15,6 +16,8 @@
 _DISCARD_BYTES: Final = 65536
 # recv yields to other greenlets only if no bytes are waiting.
 _YIELD_S: Final = 0.001
+# The event of libev's I/O watchers for a descriptor that can be read.
+_READABLE: Final = 1
 
 
 def set_liveness_options(connection: socket.socket) -> None:
@@ -48,3 +51,17 @@
             if time.monotonic() >= deadline_s:
                 return
             sleep(_YIELD_S)
+
+
+def wait_readable(
+    connection: socket.socket, event: Event, timeout_s: float
+) -> None:
+    """Wait until a connection can be read or an event is set.
+
+    Only the task that owns the connection may call this, since the wait must
+    end before the connection is closed. The event is set in both cases.
+    """
+    watcher = get_hub().loop.io(connection.fileno(), _READABLE)
+    with contextlib.closing(watcher):
+        watcher.start(event.set)
+        event.wait(timeout_s)
