--- a/apricotpin/components/gateway/const.py
+++ b/apricotpin/components/gateway/const.py
@@ -43,15 +43,15 @@
 # A request waits for a free upstream for at most this share of its route's
 # latency goal. After that, a refusal lets the caller try elsewhere.
 QUEUE_TIMEOUT_SHARE_OF_GOAL: Final = 0.12
-# An attempt at a stream that another worker may continue ends when its worker
-# sends no event for this long, or for this many times the route's goal if that
-# is longer. Callers disconnect after two seconds without an event, or after
+# A stream that another worker may continue asks for one when its worker sends
+# no event for this long, or for this many times the route's goal if that is
+# longer. Callers disconnect after two seconds without an event, or after
 # four times the latency goal or eight times the goal for gaps if those are
 # longer.
 FIRST_EVENT_SILENCE_TIMEOUT_S: Final = 1.3
 EVENT_SILENCE_TIMEOUT_S: Final = 1.0
 SILENCE_GOAL_FACTOR: Final = 2.0
-# An idempotent request is retried elsewhere when its worker is silent for
+# An idempotent request asks for another worker when its worker is silent for
 # this share of the remaining time.
 IDEMPOTENT_SILENCE_SHARE: Final = 0.4
 # A resumed stream waits at most this long for a worker, because after a
