Check staged pieces again after a suspension while an order is open

An order without a response is given again for its own version, which need not be the current one. A suspension of the host discarded the check of the current version alone, so that the order could have followed a check of before the suspension. A report that names the ordered version as loaded now settles the order too; before, an agent whose worker reports no number of orders would have waited for ever, its content being discarded once the version is installed.

Both rows failed before: the step was "check 2" where "verify 2" is due, and the check of version 2 still counted.

--- a/apricotpin/components/installer/orders.py
+++ b/apricotpin/components/installer/orders.py
@@ -68,7 +68,7 @@
     order = calls.order
     if order is None:
         return
-    if worker.report.accepted_orders <= order.expected_orders:
+    if not _has_taken_effect(order, weights, worker):
         return
     _settle(calls, order)
     weights.ordered_version = order.install.version
@@ -77,6 +77,19 @@
         _check_late_load(weights, order)
 
 
+def _has_taken_effect(
+    order: OpenOrder, weights: LoadedWeights, worker: WorkerState
+) -> bool:
+    """Return whether a report shows that an order can't take effect later."""
+    if worker.report.accepted_orders > order.expected_orders:
+        return True
+    version = order.install.version
+    if weights.unverified_version == version:
+        # These layers may have been loaded before the order.
+        return False
+    return worker.version == version and worker.layers_end >= order.part.end
+
+
 def _record_unanswered(
     calls: OpenCalls, weights: LoadedWeights, order: OpenOrder, now_s: float
 ) -> None:
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -283,6 +283,8 @@
                 'host_suspended'
             )
             install.pieces.check.discard()
+            loading = open_calls.install_to_load(self._open_calls, install)
+            loading.pieces.check.discard()
 
     def _handle_fetch_failure(self, message: PieceFetched) -> None:
         install = message.job.install
--- a/tests/components/installer/open_calls.feature
+++ b/tests/components/installer/open_calls.feature
@@ -22,6 +22,7 @@
       | unanswered | report of 4                        | verify 2 |
       | unanswered | refused, report of 4               | verify 2 |
       | unanswered | in effect                          | verify 2 |
+      | unanswered | version 2 is loaded                | verify 2 |
       # Pieces that were replaced since do not show what was loaded.
       | unanswered | repair, report of 4                | stage 3  |
 
@@ -35,6 +36,12 @@
       | unanswered | unanswered, begun                  | stage 3 |
       | unanswered | restart                            | stage 3 |
 
+  Scenario: the host is suspended while an order for the version before is open
+    # The order would be given again after a check that is too old.
+    Given an installer whose order for version 2 was unanswered, then nothing
+    When the installer's host was suspended after the check of version 2
+    Then the staged pieces of version 2 are to be checked again
+
   Scenario Outline: a copy of piece <index> of version 2 is open, version <version> checked after <checked> s: <step> after <after> s
     # The copy may replace a piece between the check and the order.
     Given an installer whose copy of piece <index> of version 2 is open
--- a/tests/steps/installer_open_calls_steps.py
+++ b/tests/steps/installer_open_calls_steps.py
@@ -1,6 +1,8 @@
 """Steps for decisions while calls of a worker may still take effect."""
 
 import hashlib
+import time
+import types
 
 from behave import given, then, when
 from result import Err, Ok
@@ -12,9 +14,11 @@
     load_steps,
     open_calls,
     orders,
+    service,
 )
 from apricotpin.components.installer.loaded_weights import LoadedWeights
 from apricotpin.components.installer.state import Install, WorkerState
+from apricotpin.core import Kernel
 from apricotpin.errors import ErrorKind, Failure
 from apricotpin.messages.pieces import LayerRange, OrderEffect, WorkerReport
 from apricotpin.messages.upstreams import LoadedLayers
@@ -78,6 +82,8 @@
         return
     if event == 'restart':
         _report(context, 0, started_ms=_BORN_MS + 1)
+    elif event == 'version 2 is loaded':
+        _report(context, _ORDERS, version=2)
     elif event.startswith('report of'):
         _report(context, int(event.split()[2]))
     elif event == 'repair':
@@ -120,6 +126,28 @@
     assert context.step == step, context.step
 
 
+@when("the installer's host was suspended after the check of version 2")
+def suspended_after_check(context):
+    whole = LayerRange(0, _LAYERS)
+    now_s = time.monotonic()
+    checks.record_check(context.older.pieces, whole, now_s, now_s)
+    settings = types.SimpleNamespace(
+        service='drafting',
+        data_centre='a',
+        is_first_start=True,
+        limits=types.SimpleNamespace(version_limit_s=8),
+    )
+    installer = service.InstallerService(Kernel('agent'), settings)
+    installer._open_calls = context.calls
+    installer.suspended_s -= 1
+    installer._detect_suspension(context.current)
+
+
+@then('the staged pieces of version 2 are to be checked again')
+def check_is_discarded(context):
+    assert context.older.pieces.check.started_s is None
+
+
 @given('an installer whose copy of piece {index:d} of version 2 is open')
 def open_copy(context, index):
     _new_state(context)
