--- a/script/soak.py
+++ b/script/soak.py
@@ -37,7 +37,7 @@
 # Longer than the callers' deadline, so that the deadline decides.
 _ROUTE_TIMEOUT_MS: Final = 8000
 _GRACE_S: Final = OPERATOR_LIMITS['grace_s']
-_CALLERS_PER_WORKER: Final = 6
+_CALLERS_PER_WORKER: Final = 9
 # After two checks without 200 an entry host gets no new connections.
 _CHECK_S: Final = 1.0
 _CHECKS: Final = 2
--- a/script/standins/paced_worker.py
+++ b/script/standins/paced_worker.py
@@ -21,7 +21,7 @@
 
 SLOTS: Final = 4
 # A worker queues a few requests beyond its slots.
-QUEUE_MAX: Final = 4
+QUEUE_MAX: Final = 2
 _EVENTS_MIN: Final = 4
 _EVENT_COUNTS: Final = 8
 _EVENT_INTERVAL_S: Final = 0.08
