Keep a silent stream of the front end until another worker continues it

After silent_s without a byte the front end closed the connection to the stream's worker and only then asked for another one. Where the other was full or named another version, the caller's stream ended with an error event, although its worker went on after a pause.

The silence is still reported to the router at once. The attempt is closed once another worker has sent an event that continues the stream; if none does, its worker may be silent for timeout_s, after which the stream ends with an error event as before. The scenario of a worker that never goes on is new too.

--- a/apricotpin/components/frontend/attempt_state.py
+++ b/apricotpin/components/frontend/attempt_state.py
@@ -7,9 +7,12 @@
 
 
 class Attempt:
-    """Track one attempt with its complete body or its open stream."""
+    """Track one attempt with its complete body or its open stream.
 
-    __slots__ = ('body', 'exchange', 'stream', 'summary')
+    may_be_silent is true once no other worker could continue its stream.
+    """
+
+    __slots__ = ('body', 'exchange', 'may_be_silent', 'stream', 'summary')
 
     def __init__(
         self,
@@ -22,6 +25,7 @@
         self.exchange = exchange
         self.body = body
         self.stream = stream
+        self.may_be_silent = False
 
 
 class UpstreamConnection:
--- a/apricotpin/components/frontend/attempts.py
+++ b/apricotpin/components/frontend/attempts.py
@@ -101,16 +101,27 @@
     context: RequestContext, upstream: Selected, attempt: Attempt
 ) -> None:
     """Report an attempt's end to the router; keep or close its connection."""
-    health = decisions.derive_health(attempt.summary)
-    context.kernel.call(SERVICE_ROUTER, AttemptEnded(context.ticket, health))
+    report_end(context, attempt.summary)
     if attempt.exchange is None:
         return
     if attempt.summary.verdict in _COMPLETE:
         _keep_connection(context, upstream.address, attempt.exchange)
         return
-    attempt.exchange.close()
-    message = CloseConnections(upstream.address)
-    context.kernel.send(SERVICE_FRONTEND, message)
+    close_attempt(context, upstream, attempt.exchange)
+
+
+def report_end(context: RequestContext, summary: AttemptSummary) -> None:
+    """Report an attempt's end to the router."""
+    health = decisions.derive_health(summary)
+    context.kernel.call(SERVICE_ROUTER, AttemptEnded(context.ticket, health))
+
+
+def close_attempt(
+    context: RequestContext, upstream: Selected, exchange: Exchange
+) -> None:
+    """Close the connection of an attempt, and idle ones to its upstream."""
+    exchange.close()
+    context.kernel.send(SERVICE_FRONTEND, CloseConnections(upstream.address))
 
 
 def _keep_connection(
@@ -159,7 +170,12 @@
 def _connect(
     context: RequestContext, address: str, may_reuse: bool
 ) -> Exchange | None:
-    connection = _acquire_idle(context, address) if may_reuse else None
+    connection: Any = None
+    if may_reuse:
+        acquired = context.kernel.call(
+            SERVICE_FRONTEND, AcquireConnection(address)
+        )
+        connection = acquired.unwrap_or(None)
     is_reused = connection is not None
     if connection is None:
         connection = connect(address, context.progress.deadline_s)
@@ -179,11 +195,6 @@
     context.kernel.call(SERVICE_ROUTER, message)
 
 
-def _acquire_idle(context: RequestContext, address: str) -> Any:
-    reply = context.kernel.call(SERVICE_FRONTEND, AcquireConnection(address))
-    return reply.unwrap_or(None)
-
-
 def _send_and_read(
     context: RequestContext, upstream: Selected, exchange: Exchange
 ) -> Attempt:
--- a/apricotpin/components/frontend/repeatable.py
+++ b/apricotpin/components/frontend/repeatable.py
@@ -10,7 +10,9 @@
 from apricotpin.components.frontend import answers, decisions, refusals
 from apricotpin.components.frontend.attempt_state import Attempt
 from apricotpin.components.frontend.attempts import (
+    close_attempt,
     end_attempt,
+    report_end,
     run_attempt,
     select_upstream,
 )
@@ -81,12 +83,13 @@
     context.progress.deadline_s = time.monotonic() + STREAM_DURATION_MAX_S
     with contextlib.ExitStack() as opened:
         while True:
+            # An attempt may be taken up again; closing it twice has no effect.
             opened.callback(attempt.exchange.close)
             attempt.exchange.set_deadline(context.progress.deadline_s)
             verdict = yield from _relay_until_end(context, attempt)
             if verdict is Verdict.ANSWERED:
                 return
-            resumed = _resume_stream(context, attempt, verdict)
+            resumed = _continue_stream(context, attempt, verdict)
             if resumed.is_err():
                 yield _make_error_event(context, resumed.err_value)
                 # On this error the server closes the connection without the
@@ -111,19 +114,40 @@
             return Verdict.ANSWERED
 
 
-def _resume_stream(
+def _continue_stream(
     context: RequestContext,
     attempt: Attempt,
     verdict: Verdict,
 ) -> Result[Attempt, Failure]:
+    """Return the attempt that continues a stream.
+
+    A silent worker may still go on, so its attempt is kept until another worker
+    has continued the stream. If none does, it may be silent for timeout_s.
+    """
     summary = AttemptSummary(verdict, sent=True, reused=attempt.summary.reused)
     context.progress.last_verdict = verdict
-    cut_attempt = Attempt(summary, attempt.exchange)
-    end_attempt(context, attempt.stream.upstream, cut_attempt)
+    if verdict is not Verdict.SILENT:
+        cut_attempt = Attempt(summary, attempt.exchange)
+        end_attempt(context, attempt.stream.upstream, cut_attempt)
+        return _resume_stream(context, summary)
+    report_end(context, summary)
+    resumed = _resume_stream(context, summary)
+    if resumed.is_ok() or attempt.may_be_silent:
+        close_attempt(context, attempt.stream.upstream, attempt.exchange)
+        return resumed
+    attempt.may_be_silent = True
+    attempt.exchange.set_silence_timeout(context.admitted.service.timeout_s)
+    return Ok(attempt)
+
+
+def _resume_stream(
+    context: RequestContext, summary: AttemptSummary
+) -> Result[Attempt, Failure]:
     step = decisions.next_step(context.progress, summary, time.monotonic())
     if step.action is Action.FAIL:
         return Err(step.failure)
-    return _run_attempts(context, verdict.value).and_then(_require_stream)
+    reason = summary.verdict.value
+    return _run_attempts(context, reason).and_then(_require_stream)
 
 
 def _require_stream(attempt: Attempt) -> Result[Attempt, Failure]:
--- a/tests/components/frontend/streams.feature
+++ b/tests/components/frontend/streams.feature
@@ -68,6 +68,34 @@
       | status_400 |
       | status_409 |
 
+  Scenario Outline: a stream whose worker pauses is whole if another worker <other>
+    # A silence is a reason to look for another worker. The one at work was given
+    # up before another had accepted the request, and the stream was broken off
+    # although its worker went on.
+    Given frontend with upstreams "near" of "drafting"
+    And frontend has a far upstream of "drafting" with <far>
+    And frontend upstream "near" has the fault "pauses"
+    And frontend upstream "far" always has the fault "<fault>"
+    When frontend streams 6 tokens
+    Then frontend passed on tokens 0 to 5 of version v1 and the end
+    And frontend holds nothing of the request
+
+    Examples:
+      | other                 | far        | fault         |
+      | continues it          | state live | none          |
+      | has another version   | version v2 | none          |
+      | is full               | state live | status_503    |
+      | resets it             | state live | reset_at_once |
+      | names another version | state live | wrong_version |
+
+  Scenario: a stream whose worker stays silent ends when no other continues it
+    Given frontend with upstreams "near, far" of "drafting"
+    And frontend upstream "near" has the fault "silent"
+    And frontend upstream "far" always has the fault "status_503"
+    When frontend streams 6 tokens
+    Then frontend ended the stream after token 1 with timeout and no final chunk
+    And frontend holds nothing of the request
+
   Scenario: a stream that fails repeatedly ends after a limited number of attempts
     Given frontend with upstreams "near, far" of "drafting"
     And frontend upstream "near" always has the fault "reset"
--- a/tests/upstream_fake.py
+++ b/tests/upstream_fake.py
@@ -171,6 +171,8 @@
             if index - first == 2 and fault in _STREAM_FAULTS:
                 _STREAM_FAULTS[fault](self, request, index)
                 return False
+            if index - first == 2 and fault == 'pauses':
+                sleep(LATE_S)
             if index == first and fault == 'reset_at_once':
                 reset(request.connection)
                 return False
