Write the record of an entry host again if it is dropped late

A host drops its record in the store as it stops, and does not learn whether that took effect. A drop that took effect once the next process of the host had written its record left the host unlisted until its next start: agents and entry hosts that know no other host do not find it.

A host that reads that its own record was removed now writes it again, unless it is stopping.

--- a/apricotpin/components/presence/entry_host.py
+++ b/apricotpin/components/presence/entry_host.py
@@ -131,10 +131,14 @@
     ) -> None:
         """Record or remove another entry host that the store lists.
 
-        A hello is sent to a host that is new here.
+        A hello is sent to a host that is new here. The record of this host may
+        be dropped late by an earlier process; it is then written again.
         """
         host = message.host
-        if message.is_listed and host.host_id != self._own_host.host_id:
+        is_own = host.host_id == self._own_host.host_id
+        if is_own and not message.is_listed and not self._kernel.stopping:
+            self._kernel.spawn(write_host_record, self._kernel, self._own_host)
+        if message.is_listed and not is_own:
             known = self._known.listed_hosts.get(host.host_id)
             self._known.listed_hosts[host.host_id] = host
             if known is None and host.host_id not in self._known.entry_hosts:
--- a/tests/platform/fleet.feature
+++ b/tests/platform/fleet.feature
@@ -94,6 +94,14 @@
     Then platform's stream is complete
     And platform's entry host exits within 8 s without an error
 
+  Scenario: a host whose record is dropped late is listed again
+    # An earlier process of the host drops the record as it stops. The drop may
+    # take effect once the next process has written the record, and agents and
+    # entry hosts that start later would not find the host.
+    Given a platform fleet with 1 workers
+    When platform's store drops the record of the entry host
+    Then platform's store lists the entry host again within 10 s
+
   Scenario: a request can be explained from the log of its entry host
     Given a platform fleet with 2 workers
     When platform receives GET /read/1 with key key-1
--- a/tests/steps/platform_fleet_steps.py
+++ b/tests/steps/platform_fleet_steps.py
@@ -15,6 +15,8 @@
 )
 
 _EVENTS = 4
+_HOSTS_TOPIC = 'keyed.apricotpin-hosts'
+_HOST = 'edge-1'
 
 
 @given('a platform fleet without workers')
@@ -250,3 +252,23 @@
     assert context.raw_response.startswith(f'HTTP/1.1 {status} '), (
         context.raw_response
     )
+
+
+def _host_records(context):
+    records = context.fleet.store.topics.get(_HOSTS_TOPIC, [])
+    return [content for key, content in records if key == _HOST]
+
+
+@when("platform's store drops the record of the entry host")
+def drop_host_record(context):
+    wait_for(lambda: _host_records(context))
+    context.fleet.store.put(_HOSTS_TOPIC, _HOST, None)
+
+
+@then("platform's store lists the entry host again within {limit_s:d} s")
+def listed_again(context, limit_s):
+    wait_for(lambda: _host_records(context)[-1], limit_s)
+    # It was listed before, dropped, and listed again once.
+    sleep(1)
+    found = [bool(content) for content in _host_records(context)]
+    assert found == [True, False, True], found
