--- a/tests/components/gateway/silent_attempts.feature
+++ b/tests/components/gateway/silent_attempts.feature
@@ -146,3 +146,26 @@
     Then the caller receives events 1 2
     And dispatch was asked for the reasons first, truncated
     And the log says after_event=1 on stream_resumed
+
+  Scenario: a request that ends as its second attempt starts gives both workers back
+    Given gateway's worker 1 sends event 1, pause 9
+    And worker 2 sends event 2, end
+    When gateway is sent a request that is interrupted as worker 2 is selected
+    Then the caller receives broken after events 1
+    And the workers ran it 1 0 times
+    And each attempt ended once, as caller_left, caller_left
+    And no task of the request is left
+
+  Scenario Outline: a silent stream that must begin in 0.5 s is ended then, and worker 2 <second>
+    # A stream that begins later may run on a version that must not be served.
+    Given gateway's worker 1 sends pause 0.9, event 1, end
+    And worker 2 <second>
+    When gateway is sent a resumable request that must begin in 0.5 s
+    Then the caller receives <response>
+    And each attempt ended once, as <verdicts>
+    And worker 1 was cancelled
+
+    Examples:
+      | second                             | response | verdicts                |
+      | is full                            | 502      | begin_overdue           |
+      | sends pause 0.6, event 1, end      | events 1 | begin_overdue, answered |
--- a/tests/steps/gateway_silence_steps.py
+++ b/tests/steps/gateway_silence_steps.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from behave import given, then, when
-from gevent import Timeout, sleep, spawn, spawn_later
+from gevent import Timeout, get_hub, sleep, spawn, spawn_later
 from loguru import logger
 
 from apricotpin.components.gateway import const
@@ -134,6 +134,10 @@
 class _SilenceWorld(_World):
     """Send a request to workers that are silent, and record all ends."""
 
+    # Scenarios replace these.
+    start_timeout_s = None
+    ends_as_selected = False
+
     def __init__(self, scripts):
         self.workers = [
             _Worker('close' if script in _REFUSALS else script)
@@ -205,8 +209,22 @@
         self.granted.append(message.ticket)
         address = self.workers[index].address
         selected = SelectedUpstream(
-            f'w{index + 1}', address, None, 0, 0, 0, message.ticket, None
+            f'w{index + 1}',
+            address,
+            None,
+            0,
+            0,
+            0,
+            message.ticket,
+            self.start_timeout_s if index == 0 else None,
         )
+        if self.ends_as_selected and index == 1:
+            reply.ok(selected)
+            # This runs after the request's task, and before the next task that
+            # it starts.
+            end = functools.partial(self.greenlet.throw, RequestInterrupted)
+            get_hub().loop.run_callback(end)
+            return
         if self.scripts[index].startswith('is selected late'):
             spawn_later(_LATE_S, reply.ok, selected)
         else:
@@ -277,6 +295,20 @@
     world.serve(kind, 2)
 
 
+@when('gateway is sent a resumable request that must begin in {limit:g} s')
+def send_with_limit(context, limit):
+    _begin(context)
+    context.world.start_timeout_s = limit
+    context.world.serve('resumable', 2)
+
+
+@when('gateway is sent a request that is interrupted as worker 2 is selected')
+def send_and_end_at_once(context):
+    _begin(context)
+    context.world.ends_as_selected = True
+    context.world.serve('resumable', 2)
+
+
 @then('the caller receives {received}')
 def check_received(context, received):
     assert context.world.received == received, context.world.received
