Read a connection that is closed as idle to its end

A planned stop closes the connections that wait for a request.

The two new rows of stop.feature failed before: "the caller has received the whole response: (12288, ConnectionResetError(104, ...))".

Such a connection is now ended like one after a last response: its end is sent, and it is read until the caller closes it or is silent for 0.5 s.

--- a/apricotpin/components/gateway/callers.py
+++ b/apricotpin/components/gateway/callers.py
@@ -40,6 +40,10 @@
     """End the greenlet of a request whose caller disconnected."""
 
 
+class ClosedAsIdle(GreenletExit):
+    """End the wait of a connection for its next request."""
+
+
 class HeadTooLarge(ValueError):
     """Report that a request head exceeds the limit in force."""
 
@@ -121,7 +125,12 @@
         next request meanwhile.
         """
         self._has_responded = False
-        outcome = super().handle_one_request()
+        outcome = None
+        try:
+            outcome = super().handle_one_request()
+        except ClosedAsIdle:
+            self._has_responded = True
+            self.close_connection = True
         if self._has_responded and self.close_connection:
             discard_until_closed(
                 self.socket, const.CLOSE_IDLE_S, const.CLOSE_WAIT_S
@@ -215,7 +224,7 @@
         the switch to the greenlet.
         """
         if self._waits_for_request and is_open_and_idle(self.socket):
-            greenlet.throw(GreenletExit)
+            greenlet.throw(ClosedAsIdle)
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         if not isinstance(ex, HeadTooLarge):
--- a/tests/components/gateway/stop.feature
+++ b/tests/components/gateway/stop.feature
@@ -39,6 +39,18 @@
       | 0       | after  |
       | 60000   | after  |
 
+  Scenario Outline: a caller that sends <size> bytes once its connection is closed as idle has its response
+    # The response is written, but the caller has not received all of it.
+    Given gateway ends the connection of a caller that reads slowly
+    When gateway responds, closes the idle connections, and its caller sends <size> more bytes
+    Then gateway's caller has received the whole response
+    And gateway's connections have all ended within 1 s
+
+    Examples:
+      | size  |
+      | 10    |
+      | 60000 |
+
   Scenario Outline: in a planned stop, a <kind> request that <state> gets <response>
     # Requests were taken late in the grace period and passed on, and at its end
     # they were cut off without a response.
--- a/tests/steps/gateway_closing_steps.py
+++ b/tests/steps/gateway_closing_steps.py
@@ -3,6 +3,8 @@
 from behave import given, then, when
 from gevent import sleep, socket
 
+from apricotpin.components.gateway import service
+from apricotpin.core import Reply
 from tests.steps.gateway_stop_steps import _World
 
 # More than the caller's receive buffer, less than the sender's buffers.
@@ -19,6 +21,7 @@
 
     def __init__(self):
         super().__init__()
+        self.keeps_connection = False
         self.caller.close()
         self.caller = socket.socket()
         self.caller.setsockopt(
@@ -37,10 +40,9 @@
 
     def _respond(self, _environ, start_response):
         sleep(_RUN_S)
-        headers = [
-            ('Content-Length', str(_BODY_BYTES)),
-            ('Connection', 'close'),
-        ]
+        headers = [('Content-Length', str(_BODY_BYTES))]
+        if not self.keeps_connection:
+            headers.append(('Connection', 'close'))
         start_response('200 OK', headers)
         return [b'x' * _BODY_BYTES]
 
@@ -64,6 +66,22 @@
     sleep(_SETTLE_S)
 
 
+@when(
+    'gateway responds, closes the idle connections, and its caller sends '
+    '{size:d} more bytes'
+)
+def close_idle(context, size):
+    world = context.world
+    world.keeps_connection = True
+    world.caller.sendall(_REQUEST)
+    sleep(_SETTLE_S)
+    world.deliver_reports()
+    world.service.refuse_requests(service.RefuseNewRequests(), Reply())
+    sleep(_RUN_S)
+    world.send_next(size)
+    sleep(_RUN_S)
+
+
 @then("gateway's caller has received the whole response")
 def check_whole(context):
     received = 0
