Make late calls of soak runs more frequent, and leave no process behind

A process whose start had begun at the end of a run was not ended with the fleet: the next run on its address ended with ended_alone=17, port 7701 of side-1 taken.

--- a/script/soak.py
+++ b/script/soak.py
@@ -92,7 +92,7 @@
         while not self.is_over:
             # Short times are the more frequent ones, so that events overlap.
             shortest_s, longest_s = span_s
-            spread_s = (longest_s - shortest_s) * rng.random() ** 2
+            spread_s = (longest_s - shortest_s) * rng.random() ** 3
             gevent.sleep(shortest_s + spread_s)
             if not self.is_over:
                 action(rng)
@@ -250,8 +250,8 @@
         plan.pause_shortest_s = 1.1
         plan.pause_longest_s = 1.8
     if profile in ('late', 'all'):
-        plan.late_order_share = 0.4
-        plan.late_copy_share = 0.03
+        plan.late_order_share = 0.6
+        plan.late_copy_share = 0.05
         plan.unanswered_share = 0.3
 
 
@@ -298,6 +298,9 @@
     soak.traffic.is_stopped = True
     gevent.joinall(tasks)
     soak.is_over = True
+    # A process whose start has begun is not in the fleet's table until the
+    # start returns, and the fleet ends only those in its table.
+    gevent.sleep(_SETTLE_S)
     return figures_of(soak)
 
 
