Let only a response end a silence, and report it to dispatch when it begins

Only what can be delivered ends a silence now; a hedge whose attempt turns out not to be needed ends before its task has begun.

Dispatch heard of a silence only at the end of the attempt, and not at all if the caller left before: a worker that hangs kept its score. AttemptSilent counts as a failure at once; it counts again if the attempt ends silent.

--- a/apricotpin/components/dispatch/__init__.py
+++ b/apricotpin/components/dispatch/__init__.py
@@ -39,6 +39,7 @@
             upstreams.CountRequest: updater.count_request,
             upstreams.GetWorkerState: updater.report_worker_state,
             upstreams.SelectUpstream: service.select_upstream,
+            upstreams.AttemptSilent: service.record_silence,
             upstreams.AttemptDone: service.end_attempt,
             upstreams.AvailabilityStated: service.record_availability,
             upstreams.CancelSelection: service.cancel_selection,
--- a/apricotpin/components/dispatch/service.py
+++ b/apricotpin/components/dispatch/service.py
@@ -151,6 +151,24 @@
             connections.close_expired(upstream.idle_connections, float('inf'))
         reply.ok()
 
+    def record_silence(
+        self, message: upstreams.AttemptSilent, reply: Reply
+    ) -> None:
+        """Count a silence as a failure while its attempt goes on.
+
+        A worker that hangs would otherwise be selected until the attempt ends,
+        and not count as failed if the callers leave before.
+        """
+        upstream = self._state.find_upstream(message.ticket)
+        if upstream is not None:
+            health.record_verdict(
+                upstream,
+                Verdict.SILENT,
+                clocks.boot_time_s(),
+                self._backoff_s,
+            )
+        reply.ok()
+
     def end_attempt(
         self,
         message: upstreams.AttemptDone,
--- a/apricotpin/components/gateway/heads.py
+++ b/apricotpin/components/gateway/heads.py
@@ -5,7 +5,7 @@
 from apricotpin.components.gateway import const, decisions, responses
 from apricotpin.components.gateway.state import Attempt, RequestContext
 from apricotpin.const import SERVICE_DISPATCH
-from apricotpin.helpers.exchange import Verdict
+from apricotpin.helpers.exchange import Exchange, Verdict
 from apricotpin.messages.upstreams import AvailabilityStated
 
 
@@ -14,29 +14,37 @@
 
     A worker may send the response to an earlier request once more, late.
     """
-    exchange, progress = attempt.exchange, context.progress
+    exchange = attempt.exchange
     failed = _read_head(context, attempt)
     for _ in range(const.EARLIER_RESPONSES_MAX):
         if failed or not _is_to_earlier(context, attempt):
             break
-        if not decisions.may_retry_later(progress):
-            # No other worker can be asked during a silence.
-            exchange.set_silence_handler(None)
-        exchange.set_silence_timeout(
-            decisions.own_response_wait_s(progress, time.monotonic())
-        )
+        _shorten_silence(context, exchange)
         failed = exchange.skip_response(const.EARLIER_RESPONSE_MAX_BYTES)
         failed = failed or _read_head(context, attempt)
         if failed is Verdict.SILENT:
             return Verdict.MISMATCHED
     exchange.accept_response()
-    context.handle_silence(exchange)
+    if not context.open_attempts.hedges:
+        # Beside hedges the silence goes on until a part can be delivered.
+        context.handle_silence(exchange)
     exchange.set_silence_timeout(
-        decisions.silence_timeout_s(progress, time.monotonic())
+        decisions.silence_timeout_s(context.progress, time.monotonic())
     )
     return failed
 
 
+def _shorten_silence(context: RequestContext, exchange: Exchange) -> None:
+    """Limit the wait for the own response after one to an earlier request."""
+    has_hedges = bool(context.open_attempts.hedges)
+    if not has_hedges and not decisions.may_retry_later(context.progress):
+        # No other worker can be asked during a silence.
+        exchange.set_silence_handler(None)
+    exchange.set_silence_timeout(
+        decisions.own_response_wait_s(context.progress, time.monotonic())
+    )
+
+
 def _read_head(context: RequestContext, attempt: Attempt) -> Verdict | None:
     failed = attempt.exchange.read_head()
     if failed:
--- a/apricotpin/components/gateway/hedging.py
+++ b/apricotpin/components/gateway/hedging.py
@@ -1,8 +1,6 @@
 """Hedge a silent attempt: keep it open while another one runs beside it."""
 
-import functools
 import time
-from collections.abc import Callable
 
 from gevent import socket
 from result import Result
@@ -24,7 +22,7 @@
 from apricotpin.errors import Failure
 from apricotpin.helpers.exchange import Verdict, is_open_and_idle
 from apricotpin.helpers.sockets import wait_readable
-from apricotpin.messages.upstreams import AttemptDone, SelectedUpstream
+from apricotpin.messages.upstreams import AttemptSilent, SelectedUpstream
 
 
 def wait_in_silence(
@@ -32,27 +30,28 @@
 ) -> Verdict | None:
     """Wait until a silent upstream sends bytes, and hedge its attempt.
 
-    Return SILENT if another attempt can be delivered, or at the deadline.
+    Return SILENT if another attempt can be delivered, or at the deadline. Only
+    what can be delivered ends a silence: bytes may be parts without end.
     """
     open_attempts = context.open_attempts
     while True:
         open_attempts.activity.clear()
-        if _find_winner(context) is not None:
-            return Verdict.SILENT
-        if not is_open_and_idle(connection):
-            return None
         now_s = time.monotonic()
-        if now_s >= deadline_s:
+        if _find_winner(context) is not None or now_s >= deadline_s:
             return Verdict.SILENT
+        if not is_open_and_idle(connection) and not open_attempts.ask_at_s:
+            # The bytes may have waited while this process did not run.
+            open_attempts.ask_at_s = now_s
+            return None
         if now_s >= open_attempts.ask_at_s:
-            _ask_for_hedge(
-                context, functools.partial(is_open_and_idle, connection)
-            )
+            _ask_for_hedge(context)
         else:
             wait_until_s = min(deadline_s, open_attempts.ask_at_s)
             wait_readable(
                 connection, open_attempts.activity, wait_until_s - now_s
             )
+        if not is_open_and_idle(connection):
+            return None
 
 
 def settle(context: RequestContext, attempt: Attempt) -> Attempt:
@@ -79,7 +78,7 @@
             return _adopt(context, winner)
         if open_attempts.hedges:
             _wait_for_activity(context)
-    open_attempts.ask_at_s = 0
+    open_attempts.forget_silence()
     return None
 
 
@@ -87,7 +86,7 @@
     """End the hedges of an attempt that has delivered something itself."""
     if not context.open_attempts.ask_at_s:
         return
-    context.open_attempts.ask_at_s = 0
+    context.open_attempts.forget_silence()
     context.handle_silence(attempt.exchange)
     _end_and_record(context, Verdict.SUPERSEDED)
 
@@ -105,23 +104,23 @@
     if now_s >= context.progress.deadline_s:
         _end_and_record(context, Verdict.SILENT)
     elif now_s >= open_attempts.ask_at_s:
-        _ask_for_hedge(context, lambda: _find_winner(context) is None)
+        _ask_for_hedge(context)
     else:
         wait_until_s = min(context.progress.deadline_s, open_attempts.ask_at_s)
         open_attempts.activity.wait(wait_until_s - now_s)
 
 
-def _ask_for_hedge(
-    context: RequestContext, is_needed: Callable[[], bool]
-) -> None:
-    """Start an attempt at another upstream, if one is found and still needed.
+def _ask_for_hedge(context: RequestContext) -> None:
+    """Start an attempt at another upstream, if one is found.
 
-    The upstream is looked for while the silent attempt stays open.
+    The silent one may have sent bytes meanwhile. If they can be delivered, the
+    hedge ends before its task has begun; if not, the silence goes on.
     """
     attempt, now_s = context.open_attempts.current, time.monotonic()
     if attempt is None:
         attempt = context.open_attempts.hedges[-1].attempt
     branch = hedge_tasks.branch_context(context)
+    _report_silence(context, attempt)
     context.open_attempts.ask_at_s = now_s + hedge_decisions.ask_again_s(
         context.progress, now_s
     )
@@ -133,13 +132,19 @@
     if selected.is_err():
         kind = selected.err_value.kind.value
         log_lines.log_silence(context, attempt, kind)
-    elif is_needed():
+    else:
         instance_id = selected.ok_value.instance_id
         log_lines.log_silence(context, attempt, instance_id)
         hedge_tasks.start_hedge(context, branch, selected.ok_value)
-    else:
-        log_lines.log_silence(context, attempt, 'not needed any more')
-        _give_back(context, selected.ok_value)
+
+
+def _report_silence(context: RequestContext, attempt: Attempt) -> None:
+    if context.open_attempts.is_silence_reported:
+        return
+    context.open_attempts.is_silence_reported = True
+    context.kernel.send(
+        SERVICE_DISPATCH, AttemptSilent(attempt.upstream.ticket)
+    )
 
 
 def _select(branch: RequestContext) -> Result[SelectedUpstream, Failure]:
@@ -149,18 +154,6 @@
     return attempts.select_upstream(branch)
 
 
-def _give_back(context: RequestContext, upstream: SelectedUpstream) -> None:
-    context.kernel.send(
-        SERVICE_DISPATCH,
-        AttemptDone(
-            upstream.ticket,
-            upstream.instance_id,
-            Verdict.SUPERSEDED.value,
-            upstream.connection,
-        ),
-    )
-
-
 def _find_winner(context: RequestContext) -> Hedge | None:
     """Return a hedge that can be delivered, and remove those that failed."""
     for hedge in list(context.open_attempts.hedges):
@@ -183,7 +176,7 @@
     hedge_tasks.release_memory(context)
     context.memory = branch.memory
     context.progress.last_event_id = branch.progress.last_event_id
-    context.open_attempts.ask_at_s = 0
+    context.open_attempts.forget_silence()
     context.open_attempts.current = attempt
     if attempt.splitter is None:
         attempts.end_attempt(context, attempt, attempt.verdict)
@@ -197,7 +190,7 @@
         hedge = context.open_attempts.hedges.pop()
         hedge_tasks.end_hedge(hedge, verdict)
         # Its task may be sending at this moment.
-        _record(context, hedge, verdict, sent=True)
+        _record(context, hedge, verdict, hedge.attempt.exchange is not None)
 
 
 def _record(
--- a/apricotpin/components/gateway/state.py
+++ b/apricotpin/components/gateway/state.py
@@ -53,7 +53,8 @@
 
     current is the one that the request's task runs; on_silence is called when
     its upstream is silent. Another upstream is asked for at ask_at_s, a reading
-    of the monotonic clock, 0 without a silence. silent_since_s is when the
+    of the monotonic clock, 0 without a silence. is_silence_reported: dispatch
+    knows of the silence. silent_since_s is when the
     current attempt was sent, or when the last events were passed on. activity
     is set when a hedge ends or a silent connection can be read.
     """
@@ -63,6 +64,7 @@
         'ask_at_s',
         'current',
         'hedges',
+        'is_silence_reported',
         'on_silence',
         'silent_since_s',
     )
@@ -72,9 +74,15 @@
         self.hedges: list[Hedge] = []
         self.activity = Event()
         self.ask_at_s: float = 0
+        self.is_silence_reported = False
         self.silent_since_s: float = 0
         self.on_silence: OnSilence | None = None
 
+    def forget_silence(self) -> None:
+        """Forget a silence that has ended."""
+        self.ask_at_s = 0
+        self.is_silence_reported = False
+
 
 class RequestContext:
     """Track one request while it is forwarded to upstreams."""
--- a/apricotpin/messages/upstreams.py
+++ b/apricotpin/messages/upstreams.py
@@ -236,6 +236,15 @@
         self.keep_alive_s = keep_alive_s
 
 
+class AttemptSilent:
+    """Report that the upstream of an attempt in progress is silent."""
+
+    __slots__ = ('ticket',)
+
+    def __init__(self, ticket: str) -> None:
+        self.ticket = ticket
+
+
 class AvailabilityStated:
     """Report what an upstream's response states about new requests.
 
--- a/tests/components/dispatch/choice.feature
+++ b/tests/components/dispatch/choice.feature
@@ -302,3 +302,18 @@
       | is unlisted      | closed |
       | restarts         | closed |
       | states to leave  | closed |
+
+  Scenario Outline: <attempts> attempts at a silent worker, of which <ended> end as <verdict>
+    # Guards against a worker that hangs and is selected again and again, since
+    # its attempts stay open or its callers leave.
+    Given dispatch has two workers, of which one has <attempts> attempts
+    When dispatch is told that they are silent, and that <ended> end as <verdict>
+    Then dispatch has recorded a failure score of <score> for it
+
+    Examples:
+      | attempts | ended | verdict     | score |
+      | 1        | 0     | silent      | 0.25  |
+      | 4        | 0     | silent      | 0.68  |
+      | 4        | 4     | caller_left | 0.68  |
+      | 4        | 4     | superseded  | 0.68  |
+      | 1        | 1     | answered    | 0.19  |
