Track unverified layers by version

A worker with bad layers of version 2 got requests again while version 3 was loaded, and layers of version 3 counted as verified by a read of the pieces of version 2. LoadedWeights held one unverified version: a check of version 3 replaced the entry of version 2, and the end of a VERIFY job applied to whichever version was held by then.

Each version now has its own entry, dropped once the ordered version is reported, and a VERIFY job counts only for the version, install and pieces that it read.

--- a/apricotpin/components/installer/load_steps.py
+++ b/apricotpin/components/installer/load_steps.py
@@ -19,13 +19,14 @@
     now_s: float,
 ) -> tuple[decisions.LoadStep, Install]:
     """Return the next load step and the version that it concerns."""
-    if weights.needs_check:
+    to_read = weights.layers_to_read
+    if to_read is not None:
         step = (
             decisions.LoadStep.VERIFY
             if is_reachable(worker)
             else decisions.LoadStep.WAIT
         )
-        return step, weights.install
+        return step, to_read.install
     install = open_calls.install_to_load(calls, current)
     step, reason = open_calls.next_step(
         calls,
@@ -54,9 +55,7 @@
     if job.step is decisions.LoadStep.START:
         job.order = orders.begin_order(calls, job.install, job.part, worker)
     elif job.step is decisions.LoadStep.VERIFY:
-        indexes = weights.indexes
-        if indexes is None:
-            indexes = frozenset(range(len(job.digests)))
+        indexes = weights.layers_to_read.indexes_to_read
         job.pieces = dict.fromkeys(sorted(indexes), b'')
 
 
@@ -109,8 +108,10 @@
 def _record_verified(weights: LoadedWeights, done: LoadJobDone) -> None:
     install = done.job.install
     bad = len(done.job.pieces) - len(done.pieces)
-    weights.record_check(is_intact=not bad)
-    if bad:
+    is_current = weights.record_check(
+        install, frozenset(done.job.pieces), is_intact=not bad
+    )
+    if is_current and bad:
         install.load_ordered_s = None
         install.pieces.check.discard()
         logger.bind(version=install.version, pieces=bad).warning(
--- a/apricotpin/components/installer/loaded_weights.py
+++ b/apricotpin/components/installer/loaded_weights.py
@@ -1,41 +1,67 @@
 """Decide whether the layers that a worker reports are those of a version."""
 
+import enum
+
 from apricotpin.components.installer.checks import piece_indexes
 from apricotpin.components.installer.state import Install, WorkerState
 from apricotpin.messages.pieces import LayerRange
 
 
+class LayerState(enum.Enum):
+    """Name what is known of layers that count as not loaded.
+
+    UNREAD: their pieces are to be read. INTACT: they were found intact, or an
+    order loads them again. BAD: they are to be loaded again.
+    """
+
+    UNREAD = 'unread'
+    INTACT = 'intact'
+    BAD = 'bad'
+
+
+class UnverifiedLayers:
+    """Describe layers of one version that count as not loaded.
+
+    Once they are INTACT they count again, but not before the worker has begun
+    orders_min orders. install and indexes are what is to be read; install is
+    None where it is not known, indexes where it is all pieces.
+    """
+
+    __slots__ = ('indexes', 'install', 'orders_min', 'state')
+
+    def __init__(self, state: LayerState) -> None:
+        self.state = state
+        self.install: Install | None = None
+        self.indexes: frozenset[int] | None = None
+        self.orders_min = 0
+
+    @property
+    def indexes_to_read(self) -> frozenset[int]:
+        """Return the indexes of the pieces to read."""
+        if self.indexes is None:
+            return frozenset(range(len(self.install.pieces.digests)))
+        return self.indexes
+
+
 class LoadedWeights:
     """Track whether loaded layers may consist of pieces of another version.
 
     ordered_version is the version of the last accepted order, reported_version
-    that of the last report. Layers of unverified_version count as not loaded
-    until their pieces were found intact at the worker, or until an order later
-    than the first orders_min ones has loaded them again. install and indexes
-    are what is to be read for that; install is None where it is not known.
+    that of the last report. unverified maps versions to their layers that
+    count as not loaded.
     """
 
-    __slots__ = (
-        'indexes',
-        'install',
-        'is_bad',
-        'is_verified',
-        'ordered_version',
-        'orders_min',
-        'reported_version',
-        'unverified_version',
-    )
+    __slots__ = ('ordered_version', 'reported_version', 'unverified')
 
     def __init__(self) -> None:
-        self.ordered_version = 0
-        self.reported_version: int | None = None
+        self.unverified: dict[int, UnverifiedLayers] = {}
         self.forget()
 
     def forget(self) -> None:
         """Trust the layers that are reported next."""
         self.ordered_version = 0
-        self.reported_version = None
-        self._clear()
+        self.reported_version: int | None = None
+        self.unverified.clear()
 
     def require_check(
         self,
@@ -46,30 +72,41 @@
         """Count a version as not loaded until its pieces were read again."""
         if indexes is None:
             indexes = frozenset(piece_indexes(install.pieces, part))
-        self.unverified_version = install.version
-        self.install = install
-        self.indexes = indexes
-        self.is_verified = False
-        self.is_bad = False
+        layers = self.unverified.setdefault(
+            install.version, UnverifiedLayers(LayerState.UNREAD)
+        )
+        layers.state = LayerState.UNREAD
+        layers.install = install
+        layers.indexes = indexes
 
     def record_bad(self, version: int) -> None:
         """Count a version as not loaded until it is loaded again."""
-        self._clear()
-        self.unverified_version = version
-        self.is_bad = True
+        self.unverified[version] = UnverifiedLayers(LayerState.BAD)
+
+    def is_bad(self, version: int) -> bool:
+        """Return whether the layers of a version are to be loaded again."""
+        layers = self.unverified.get(version)
+        return layers is not None and layers.state is LayerState.BAD
 
     def record_order(self, version: int, orders_min: int) -> None:
         """Record an order that began to load checked pieces."""
         self.ordered_version = version
-        if version == self.unverified_version:
-            self.orders_min = orders_min
-            self.is_verified = True
-            self.is_bad = False
+        if version in self.unverified:
+            layers = self.unverified[version]
+            layers.orders_min = orders_min
+            layers.state = LayerState.INTACT
 
-    def record_check(self, is_intact: bool) -> None:
-        """Record whether the pieces read again are those of the version."""
-        self.is_verified = is_intact
-        self.is_bad = not is_intact
+    def record_check(
+        self, install: Install, indexes: frozenset[int], is_intact: bool
+    ) -> bool:
+        """Record pieces read; return whether they are those to be read."""
+        layers = self.unverified.get(install.version)
+        if layers is None or layers.state is not LayerState.UNREAD:
+            return False
+        if layers.install is not install or layers.indexes_to_read - indexes:
+            return False
+        layers.state = LayerState.INTACT if is_intact else LayerState.BAD
+        return True
 
     def apply_report(
         self,
@@ -94,53 +131,51 @@
             and version != open_version
         )
         if is_unexplained:
-            self.record_bad(version)
-            self.is_bad = has_copied
-        elif version and version != self.unverified_version:
-            if version == self.ordered_version:
-                self._clear()
-        self._select_install(current)
+            state = LayerState.BAD if has_copied else LayerState.UNREAD
+            self.unverified[version] = UnverifiedLayers(state)
+        elif version and version == self.ordered_version:
+            # A worker that has loaded the ordered version has no other.
+            for other in self.unverified.keys() - {version}:
+                self.unverified.pop(other)
+        self._select_installs(current)
         self._hide(worker)
         return is_unexplained
 
     @property
-    def needs_check(self) -> bool:
-        """Return whether pieces are to be read to verify loaded layers."""
-        return (
-            self.install is not None
-            and bool(self.install.pieces.digests)
-            and not self.is_bad
-            and not self.is_verified
-        )
-
-    def _select_install(self, current: Install | None) -> None:
-        if self.install is not None or current is None:
+    def layers_to_read(self) -> UnverifiedLayers | None:
+        """Return the newest layers whose pieces are to be read."""
+        for _, layers in sorted(self.unverified.items(), reverse=True):
+            is_known = layers.install and layers.install.pieces.digests
+            if layers.state is LayerState.UNREAD and is_known:
+                return layers
+        return None
+
+    def _select_installs(self, current: Install | None) -> None:
+        if current is None:
             return
-        if current.version == self.unverified_version:
-            self.install = current
-            self.indexes = None
-        elif self.unverified_version:
-            # The staged pieces may be those of the current version.
-            self.is_bad = True
+        for version, layers in self.unverified.items():
+            is_unread = layers.state is LayerState.UNREAD
+            if not is_unread or layers.install is not None:
+                continue
+            if current.version == version:
+                layers.install = current
+            else:
+                # The staged pieces may be those of the current version.
+                layers.state = LayerState.BAD
 
     def _hide(self, worker: WorkerState) -> None:
         report = worker.report
+        layers = self.unverified.get(worker.version)
+        if layers is None:
+            return
         is_replaced = (
-            self.is_verified
+            layers.state is LayerState.INTACT
             and not report.has_order_in_progress
-            and report.accepted_orders >= self.orders_min
+            and report.accepted_orders >= layers.orders_min
         )
         if is_replaced:
-            self._clear()
-        if worker.version and worker.version == self.unverified_version:
-            worker.version = 0
-            worker.layers_start = 0
-            worker.layers_end = 0
-
-    def _clear(self) -> None:
-        self.unverified_version = 0
-        self.install: Install | None = None
-        self.indexes: frozenset[int] | None = None
-        self.is_verified = False
-        self.is_bad = False
-        self.orders_min = 0
+            self.unverified.pop(worker.version)
+            return
+        worker.version = 0
+        worker.layers_start = 0
+        worker.layers_end = 0
--- a/apricotpin/components/installer/orders.py
+++ b/apricotpin/components/installer/orders.py
@@ -84,7 +84,7 @@
     if worker.report.accepted_orders > order.expected_orders:
         return True
     version = order.install.version
-    if weights.unverified_version == version:
+    if version in weights.unverified:
         # These layers may have been loaded before the order.
         return False
     return worker.version == version and worker.layers_end >= order.part.end
@@ -123,7 +123,7 @@
     weights.ordered_version = version
     if order.are_pieces_changed:
         weights.record_bad(version)
-    elif not weights.is_bad or weights.unverified_version != version:
+    elif not weights.is_bad(version):
         weights.require_check(order.install, order.part)
 
 
--- a/tests/components/installer/open_calls.feature
+++ b/tests/components/installer/open_calls.feature
@@ -117,3 +117,19 @@
       | corrupt | goes on                     | 0       |
       | corrupt | states that it is in effect | 0       |
       | corrupt | begins another order        | 2       |
+
+  Scenario: other layers are reported while pieces are read
+    # The pieces of version 2 do not show what version 3 was loaded from.
+    Given an installer whose worker has 1 loaded and an order for none
+    When the worker reports version 2 while the agent installs 2
+    And the worker reports version 3 while the installer reads those of 2
+    Then the installer reports version 0, and verifies 3
+
+  Scenario: layers of two versions are not verified
+    # Bad layers stay in use until those of the next version are loaded.
+    Given an installer whose worker has 1 loaded and an order for none
+    When the worker reports version 2 while the agent installs 2
+    And the pieces that the installer reads again are corrupt
+    And the worker begins version 3 while a copy of version 2 is open
+    And the worker reports version 2 after 1 more orders
+    Then the installer reports version 0, and verifies 3
--- a/tests/steps/installer_open_calls_steps.py
+++ b/tests/steps/installer_open_calls_steps.py
@@ -209,25 +209,54 @@
 @then('the installer reports version {version:d}, and verifies {verifies}')
 def reports_and_verifies(context, version, verifies):
     assert context.worker.version == version, context.worker.version
-    needed = context.weights.needs_check
-    found = str(context.weights.install.version) if needed else 'none'
+    to_read = context.weights.layers_to_read
+    found = 'none' if to_read is None else str(to_read.install.version)
     assert found == verifies, found
 
 
-@when('the pieces that the installer reads again are {state}')
-def read_again(context, state):
-    verify = events.LoadJob(
+def _begin_verify(context):
+    return events.LoadJob(
         decisions.LoadStep.VERIFY,
-        context.weights.install,
+        context.weights.layers_to_read.install,
         LayerRange(0, _LAYERS),
         dict(enumerate(_PIECES)),
     )
-    found = verify.pieces if state == 'intact' else {0: _PIECES[0]}
+
+
+def _end_verify(context, verify, found):
     done = events.LoadJobDone(verify, True, found)
     load_steps.record_calls(context.calls, context.weights, done, _START_S)
+
+
+@when('the pieces that the installer reads again are {state}')
+def read_again(context, state):
+    verify = _begin_verify(context)
+    found = verify.pieces if state == 'intact' else {0: _PIECES[0]}
+    _end_verify(context, verify, found)
     _report(context, _ORDERS + 1, 2, current=context.installs)
 
 
+@when('the worker reports version 3 while the installer reads those of 2')
+def report_while_reading(context):
+    verify = _begin_verify(context)
+    current = _install(3, staged=True)
+    _report(context, _ORDERS + 2, 3, current=current)
+    _end_verify(context, verify, verify.pieces)
+    _report(context, _ORDERS + 2, 3, current=current)
+
+
+@when('the worker begins version 3 while a copy of version 2 is open')
+def begins_beside_copy(context):
+    open_calls.record_copies(context.calls, context.older, (1,), _START_S)
+    context.older = _install(3, staged=True)
+    _reply(context, _begin(context), _REPLIES['begun'])
+
+
+@when('the worker reports version {version:d} after {begun:d} more orders')
+def reports_after_orders(context, version, begun):
+    _report(context, _ORDERS + begun, version, current=context.older)
+
+
 @when('the worker {event} after that')
 def worker_event(context, event):
     if event == 'begins another order':
