Stop repeating orders that do not replace bad layers

A worker with bad layers of a version stayed out of service, with a check of all pieces and an order every 6 s. The worker holds the layers as that version, so by the protocol it answers 200 (already in effect) and loads nothing, however often the order is repeated.

A new row of open_calls.feature failed before with "the installer selects wait 2: start 2".

--- a/apricotpin/components/installer/load_steps.py
+++ b/apricotpin/components/installer/load_steps.py
@@ -3,12 +3,14 @@
 import time
 
 from loguru import logger
+from result import Ok
 
 from apricotpin.components.installer import decisions, open_calls, orders
 from apricotpin.components.installer.events import LoadJob, LoadJobDone
 from apricotpin.components.installer.loaded_weights import LoadedWeights
 from apricotpin.components.installer.state import Install, WorkerState
 from apricotpin.components.installer.switching import is_reachable
+from apricotpin.messages.pieces import OrderEffect
 
 
 def select_step(
@@ -28,13 +30,10 @@
         )
         return step, to_read.install
     install = open_calls.install_to_load(calls, current)
-    step, reason = open_calls.next_step(
-        calls,
-        install,
-        worker,
-        decisions.next_step(install, worker, now_s),
-        now_s,
-    )
+    step = decisions.LoadStep.WAIT
+    if weights.can_load(install.version):
+        step = decisions.next_step(install, worker, now_s)
+    step, reason = open_calls.next_step(calls, install, worker, step, now_s)
     if reason != calls.reason_logged:
         calls.reason_logged = reason
         logger.bind(
@@ -72,6 +71,7 @@
         open_calls.record_write(calls)
     if done.order_reply is not None:
         orders.record_reply(calls, weights, job.order, done.order_reply, now_s)
+        _record_kept(weights, done)
     if job.step is decisions.LoadStep.SCAN and done.succeeded:
         open_calls.record_scan(calls, done.found_staged)
     if job.step is decisions.LoadStep.VERIFY and done.succeeded:
@@ -105,6 +105,20 @@
         ).warning('worker_weights_unexplained')
 
 
+def _record_kept(weights: LoadedWeights, done: LoadJobDone) -> None:
+    """Give no further order for bad layers that orders do not replace.
+
+    A worker loads a version only if it holds layers of another one.
+    """
+    install = done.job.install
+    if done.order_reply != Ok(OrderEffect.IN_EFFECT):
+        return
+    if weights.record_kept(install.version):
+        logger.bind(version=install.version, reason='bad_layers').warning(
+            'worker_weights_not_replaced'
+        )
+
+
 def _record_verified(weights: LoadedWeights, done: LoadJobDone) -> None:
     install = done.job.install
     bad = len(done.job.pieces) - len(done.pieces)
--- a/apricotpin/components/installer/loaded_weights.py
+++ b/apricotpin/components/installer/loaded_weights.py
@@ -1,6 +1,7 @@
 """Decide whether the layers that a worker reports are those of a version."""
 
 import enum
+from typing import Final
 
 from apricotpin.components.installer.checks import piece_indexes
 from apricotpin.components.installer.state import Install, WorkerState
@@ -11,12 +12,17 @@
     """Name what is known of layers that count as not loaded.
 
     UNREAD: their pieces are to be read. INTACT: they were found intact, or an
-    order loads them again. BAD: they are to be loaded again.
+    order loads them again. BAD: they are to be loaded again. KEPT: they are
+    bad, but the worker answers that the order to load them is in effect.
     """
 
     UNREAD = 'unread'
     INTACT = 'intact'
     BAD = 'bad'
+    KEPT = 'kept'
+
+
+_BAD_STATES: Final = frozenset((LayerState.BAD, LayerState.KEPT))
 
 
 class UnverifiedLayers:
@@ -84,15 +90,32 @@
         self.unverified[version] = UnverifiedLayers(LayerState.BAD)
 
     def is_bad(self, version: int) -> bool:
-        """Return whether the layers of a version are to be loaded again."""
+        """Return whether the layers of a version are bad."""
         layers = self.unverified.get(version)
-        return layers is not None and layers.state is LayerState.BAD
+        return layers is not None and layers.state in _BAD_STATES
+
+    def record_kept(self, version: int) -> bool:
+        """Record that an order does not replace the layers of a version.
+
+        Return whether that was not known.
+        """
+        layers = self.unverified.get(version)
+        if layers is None or layers.state is not LayerState.BAD:
+            return False
+        layers.state = LayerState.KEPT
+        return True
+
+    def can_load(self, version: int) -> bool:
+        """Return whether an order for a version may begin a load."""
+        layers = self.unverified.get(version)
+        is_kept = layers is not None and layers.state is LayerState.KEPT
+        return not is_kept or version != self.reported_version
 
     def record_order(self, version: int, orders_min: int) -> None:
         """Record an order that began to load checked pieces."""
         self.ordered_version = version
-        if version in self.unverified:
-            layers = self.unverified[version]
+        layers = self.unverified.get(version)
+        if layers is not None:
             layers.orders_min = orders_min
             layers.state = LayerState.INTACT
 
--- a/tests/components/installer/open_calls.feature
+++ b/tests/components/installer/open_calls.feature
@@ -133,3 +133,23 @@
     And the worker begins version 3 while a copy of version 2 is open
     And the worker reports version 2 after 1 more orders
     Then the installer reports version 0, and verifies 3
+
+  Scenario Outline: an order for the bad layers of version 2 is <reply>, then <event>: <step>
+    # An order that begins no load must not be repeated for ever.
+    Given an installer whose worker has 1 loaded and an order for none
+    When the worker reports version 2 while the agent installs 2
+    And the pieces that the installer reads again are corrupt
+    And an order for these is <reply>, and the worker reports <event>
+    And the installer selects the step for version <version>, checked just now
+    Then the installer selects <step>
+
+    Examples:
+      | reply      | event     | version | step    |
+      | in effect  | version 2 | 2       | wait 2  |
+      | in effect  | version 2 | 3       | start 3 |
+      | in effect  | version 1 | 2       | start 2 |
+      | in effect  | version 0 | 2       | start 2 |
+      | in effect  | a restart | 2       | start 2 |
+      | refused    | version 2 | 2       | start 2 |
+      # The outcome is unknown until the same order is answered.
+      | unanswered | version 2 | 2       | start 2 |
--- a/tests/steps/installer_open_calls_steps.py
+++ b/tests/steps/installer_open_calls_steps.py
@@ -268,3 +268,36 @@
     elif event == 'states that it is in effect':
         _reply(context, _begin(context), _REPLIES['in effect'])
         _report(context, _ORDERS + 1, 2)
+
+
+@when(
+    'an order for these is {reply}, and the worker reports {event}',
+)
+def order_for_bad_layers(context, reply, event):
+    install = context.installs
+    whole = LayerRange(0, _LAYERS)
+    job = events.LoadJob(decisions.LoadStep.START, install, whole, {})
+    load_steps.prepare_job(context.calls, context.weights, context.worker, job)
+    done = events.LoadJobDone(job, reply == 'in effect', {})
+    done.order_reply = _REPLIES[reply]
+    load_steps.record_calls(context.calls, context.weights, done, _START_S)
+    if event == 'a restart':
+        _report(context, 0, started_ms=_BORN_MS + 1, current=install)
+    else:
+        version = int(event.split()[1])
+        _report(context, _ORDERS + 1, version, current=install)
+
+
+@when(
+    'the installer selects the step for version {version:d}, checked just now'
+)
+def select_checked_step(context, version):
+    if version == context.installs.version:
+        context.current = context.installs
+    else:
+        context.current = _install(version, staged=True)
+    now_s = _START_S + 20
+    whole = LayerRange(0, _LAYERS)
+    checks.record_check(context.current.pieces, whole, now_s, now_s)
+    context.current.draining_since_s = _START_S
+    select_step(context, 20)
