Verify layers that an order of an earlier agent may have loaded

A new agent reported a version as loaded right if the worker answered its first order for it as already in effect. While calls of an earlier agent may take effect, an order of that agent may have begun the load, from pieces that this agent did not check. Only the answer that the order has begun led to a check.

The pieces are now read in both cases. A row of open_calls.feature failed before with "reports version 0, and verifies 3: 3".

--- a/apricotpin/components/installer/orders.py
+++ b/apricotpin/components/installer/orders.py
@@ -52,6 +52,9 @@
         _check_begun_load(calls, weights, order, now_s)
     elif order.is_unanswered:
         _check_late_load(weights, order)
+    elif now_s < calls.earlier_until_s:
+        # An order of the earlier agent may have loaded the layers.
+        _check_late_load(weights, order)
     else:
         weights.ordered_version = order.install.version
 
--- a/tests/components/installer/open_calls.feature
+++ b/tests/components/installer/open_calls.feature
@@ -153,3 +153,15 @@
       | refused    | version 2 | 2       | start 2 |
       # The outcome is unknown until the same order is answered.
       | unanswered | version 2 | 2       | start 2 |
+
+  Scenario Outline: an agent that <follows> another one orders version 3, <after> s after its start, which is in effect
+    # An order of the earlier agent may have loaded other pieces.
+    Given an installer that <follows> another agent, with a worker that has begun orders
+    When version 3 is ordered after <after> s, and is in effect
+    Then the installer reports version <version>, and verifies <verifies>
+
+    Examples:
+      | follows         | after | version | verifies |
+      | may follow      | 1     | 0       | 3        |
+      | may follow      | 10.1  | 3       | none     |
+      | does not follow | 1     | 3       | none     |
--- a/tests/steps/installer_open_calls_steps.py
+++ b/tests/steps/installer_open_calls_steps.py
@@ -62,8 +62,9 @@
     )
 
 
-def _reply(context, order, reply):
-    orders.record_reply(context.calls, context.weights, order, reply, _START_S)
+def _reply(context, order, reply, after_s=0):
+    now_s = _START_S + after_s
+    orders.record_reply(context.calls, context.weights, order, reply, now_s)
 
 
 _REPLIES = {
@@ -301,3 +302,12 @@
     checks.record_check(context.current.pieces, whole, now_s, now_s)
     context.current.draining_since_s = _START_S
     select_step(context, 20)
+
+
+@when('version 3 is ordered after {after:g} s, and is in effect')
+def ordered_in_effect(context, after):
+    context.older = _install(3, staged=True)
+    order = _begin(context)
+    _reply(context, order, _REPLIES['in effect'], after)
+    born_ms = context.worker.report.started_ms
+    _report(context, _ORDERS + 1, 3, born_ms, current=context.older)
