Decide without clocks whether a worker is older than its agent

After the clock had been set back, a new agent took a worker that was older than itself for newer, and staged pieces beside calls of the earlier agent that could yet take effect: it compared the start times of the two processes, both from the wall clock.

The agent now probes the worker's address once, before it reads the first report. Only a refused connection shows that no earlier agent has called the worker; a connection that times out does not, since the process may be suspended. A worker that starts seconds after its agent, as in the start of a whole fleet, refuses the probe, so nothing waits there. The row "reports a start at a later time" failed before with "selects wait 3: stage 3".

--- a/apricotpin/components/installer/events.py
+++ b/apricotpin/components/installer/events.py
@@ -11,12 +11,20 @@
 
 
 class ReportRead:
-    """Carry a worker's report, or the failure to read it."""
+    """Carry the worker's report, or the failure to read it.
 
-    __slots__ = ('report',)
+    was_absent: no worker listened before this first read.
+    """
+
+    __slots__ = ('report', 'was_absent')
 
-    def __init__(self, report: Result[WorkerReport, Failure]) -> None:
+    def __init__(
+        self,
+        report: Result[WorkerReport, Failure],
+        was_absent: bool = False,
+    ) -> None:
         self.report = report
+        self.was_absent = was_absent
 
 
 class GetNextFetchJob:
--- a/apricotpin/components/installer/open_calls.py
+++ b/apricotpin/components/installer/open_calls.py
@@ -1,6 +1,5 @@
 """Decide what calls of the worker without a response still permit."""
 
-import time
 from collections.abc import Collection
 from typing import Final
 
@@ -70,7 +69,6 @@
 
     __slots__ = (
         'accepted_orders',
-        'agent_started_ms',
         'copies',
         'earlier_until_s',
         'has_copied',
@@ -84,7 +82,6 @@
         self.copies: dict[tuple[int, int], float] = {}
         self.earlier_until_s = float('-inf')
         self.reason_logged = ''
-        self.agent_started_ms = time.time() * 1000
         # As in the last report.
         self.accepted_orders = 0
         self.worker_started_ms = 0
@@ -95,13 +92,17 @@
         """Record that this agent may follow another one."""
         self.earlier_until_s = now_s + const.CALL_SETTLE_S
 
+    def exclude_earlier_agent(self) -> None:
+        """Record that no earlier agent has called this worker."""
+        self.earlier_until_s = float('-inf')
+
     def forget(self) -> None:
         """Forget all calls of a worker that has restarted."""
         if self.order is not None:
             self.order.is_settled = True
         self.order = None
         self.copies.clear()
-        self.earlier_until_s = float('-inf')
+        self.exclude_earlier_agent()
 
 
 def is_outcome_unknown(failure: Failure) -> bool:
@@ -127,7 +128,7 @@
 def record_scan(calls: OpenCalls, found_staged: bool) -> None:
     """Record whether a scan found pieces of any version at the worker."""
     if not found_staged and not calls.accepted_orders:
-        calls.earlier_until_s = float('-inf')
+        calls.exclude_earlier_agent()
 
 
 def has_open_copy(calls: OpenCalls, version: int, now_s: float) -> bool:
--- a/apricotpin/components/installer/orders.py
+++ b/apricotpin/components/installer/orders.py
@@ -65,9 +65,6 @@
     """Settle an order after which the worker has begun one."""
     calls.accepted_orders = worker.report.accepted_orders
     calls.worker_started_ms = worker.report.started_ms
-    if worker.report.started_ms > calls.agent_started_ms:
-        # No earlier agent has called this worker.
-        calls.earlier_until_s = float('-inf')
     order = calls.order
     if order is None:
         return
--- a/apricotpin/components/installer/service.py
+++ b/apricotpin/components/installer/service.py
@@ -91,6 +91,8 @@
 
     def handle_report(self, message: ReportRead, reply: Reply) -> None:
         """Record the worker's report and send a load report to entry hosts."""
+        if message.was_absent:
+            self._open_calls.exclude_earlier_agent()
         if message.report.is_err():
             self._worker.missed_reports += 1
             if self._worker.missed_reports == const.UNREACHABLE_AFTER_MISSED:
--- a/apricotpin/components/installer/tasks.py
+++ b/apricotpin/components/installer/tasks.py
@@ -44,6 +44,7 @@
     ReportToEntryHosts,
 )
 from apricotpin.messages.pieces import (
+    IsWorkerListening,
     LoadVersion,
     ReadStagedPiece,
     ReadWorkerReport,
@@ -58,14 +59,23 @@
 
 
 def poll_reports(kernel: Kernel) -> None:
-    """Read the worker's report at a fixed interval."""
+    """Read the worker's report at a fixed interval.
+
+    A worker that does not listen before the first read starts later than this
+    agent; clocks would not show that, as they may be set back.
+    """
+    is_listening = kernel.call(
+        SERVICE_ENGINE, IsWorkerListening(), const.REPORT_TIMEOUT_S
+    )
+    was_absent = not is_listening.unwrap_or(True)
     while True:
         report = kernel.call(
             SERVICE_ENGINE,
             ReadWorkerReport(),
             const.REPORT_TIMEOUT_S,
         )
-        kernel.send(SERVICE_INSTALLER, ReportRead(report))
+        kernel.send(SERVICE_INSTALLER, ReportRead(report, was_absent))
+        was_absent = False
         gevent.sleep(const.REPORT_INTERVAL_S)
 
 
--- a/apricotpin/helpers/exchange.py
+++ b/apricotpin/helpers/exchange.py
@@ -303,6 +303,21 @@
     return connection
 
 
+def refuses_connections(address: str) -> bool:
+    """Return whether no process listens at an address.
+
+    A connection that times out is not refused: the process may be suspended.
+    """
+    target = Address.from_text(address).as_tuple()
+    try:
+        socket.create_connection(target, timeout=CONNECT_TIMEOUT_S).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def is_open_and_idle(connection: socket.socket) -> bool:
     """Return whether a connection is open and has no unread bytes."""
     if connection.fileno() < 0:
--- a/apricotpin/messages/pieces.py
+++ b/apricotpin/messages/pieces.py
@@ -144,6 +144,12 @@
     __slots__ = ()
 
 
+class IsWorkerListening:
+    """Ask whether the worker's address does not refuse connections."""
+
+    __slots__ = ()
+
+
 class WorkerReport:
     """Report the load and the loaded layers of a worker."""
 
--- a/apricotpin/platform/__init__.py
+++ b/apricotpin/platform/__init__.py
@@ -23,6 +23,7 @@
     FetchPiece,
     LoadVersion,
     ReadStagedPiece,
+    IsWorkerListening,
     ReadWorkerReport,
     StagePiece,
 )
@@ -57,6 +58,7 @@
     kernel.register(
         SERVICE_ENGINE,
         {
+            IsWorkerListening: worker.is_listening,
             ReadWorkerReport: worker.read_report,
             StagePiece: worker.handle_piece_or_order,
             ReadStagedPiece: worker.handle_piece_or_order,
--- a/apricotpin/platform/worker.py
+++ b/apricotpin/platform/worker.py
@@ -10,11 +10,13 @@
 
 from apricotpin.core import Kernel, Reply
 from apricotpin.errors import ErrorKind, Failure
+from apricotpin.helpers.exchange import refuses_connections
 from apricotpin.helpers.http import HttpResponse
 from apricotpin.messages.pieces import (
     LoadVersion,
     OrderEffect,
     ReadStagedPiece,
+    IsWorkerListening,
     ReadWorkerReport,
     StagePiece,
     WorkerReport,
@@ -36,9 +38,10 @@
 class WorkerService:
     """Own the connections to the worker beside this process."""
 
-    __slots__ = ('_client', '_kernel', '_report_client')
+    __slots__ = ('_address', '_client', '_kernel', '_report_client')
 
     def __init__(self, kernel: Kernel, address: str) -> None:
+        self._address = address
         self._kernel = kernel
         self._client = PlatformHttpClient(
             address,
@@ -57,6 +60,12 @@
             lambda: reply.forward(_read_report(self._report_client))
         )
 
+    def is_listening(self, _message: IsWorkerListening, reply: Reply) -> None:
+        """Reply whether the worker's address does not refuse connections."""
+        self._kernel.spawn(
+            lambda: reply.ok(not refuses_connections(self._address))
+        )
+
     def handle_piece_or_order(self, message: Any, reply: Reply) -> None:
         """Stage or read a piece, or order the worker to load a version."""
         action = _ACTIONS[type(message)]
--- a/tests/components/installer/late_calls.feature
+++ b/tests/components/installer/late_calls.feature
@@ -54,3 +54,14 @@
     When the agent sends it two copies on one connection
     Then the order is done and the copy is engine_outcome_unknown
     And the worker received 2 calls
+
+  Scenario Outline: an agent starts beside a worker that responds with <answer>
+    # A worker that listens may have received calls of an earlier agent.
+    Given a worker that responds to each call with <answer>
+    Then the worker counts as <state>
+
+    Examples:
+      | answer               | state     |
+      | 200                  | listening |
+      | nothing              | listening |
+      | a refused connection | absent    |
--- a/tests/components/installer/open_calls.feature
+++ b/tests/components/installer/open_calls.feature
@@ -79,7 +79,9 @@
       | may follow     | has nothing staged                 | 1     | wait 3  |
       # Recovery after a loss of all hosts must not wait.
       | may follow     | has begun no order, nothing staged | 1     | stage 3 |
-      | may follow     | is newer                           | 1     | stage 3 |
+      | may follow     | did not listen first               | 1     | stage 3 |
+      # The clock was set back after the worker started.
+      | may follow     | reports a start at a later time    | 1     | wait 3  |
       | does not follow | has begun orders                  | 1     | stage 3 |
 
   Scenario: an agent that follows another one finds its version staged
--- a/tests/steps/installer_late_calls_steps.py
+++ b/tests/steps/installer_late_calls_steps.py
@@ -27,6 +27,7 @@
     WeightsTarget,
 )
 from apricotpin.messages.pieces import (
+    IsWorkerListening,
     LayerRange,
     LoadVersion,
     ReadStagedPiece,
@@ -234,6 +235,7 @@
     kernel.register(
         SERVICE_ENGINE,
         {
+            IsWorkerListening: engine.is_listening,
             ReadWorkerReport: engine.read_report,
             StagePiece: engine.handle_piece_or_order,
             ReadStagedPiece: engine.handle_piece_or_order,
@@ -352,6 +354,14 @@
     context.cleanups = [server.stop, kernel.stop]
 
 
+@then('the worker counts as {state}')
+def counts_as(context, state):
+    waiter = AsyncResult()
+    context.engine.is_listening(IsWorkerListening(), Reply(waiter))
+    is_listening = waiter.get(timeout=4).ok_value
+    assert is_listening is (state == 'listening'), is_listening
+
+
 @when('the agent sends it an order and a copy')
 def send_order_and_copy(context):
     send_by_s = clocks.boot_time_s() + 5
--- a/tests/steps/installer_open_calls_steps.py
+++ b/tests/steps/installer_open_calls_steps.py
@@ -172,11 +172,14 @@
 @given('an installer that {follows} another agent, with a worker that {state}')
 def new_agent(context, follows, state):
     _new_state(context)
-    context.calls.agent_started_ms = 1000
     if follows == 'may follow':
         context.calls.expect_earlier_agent(_START_S)
     begun = 0 if 'no order' in state else _ORDERS
-    born_ms = 1001 if 'is newer' in state else 999
+    if 'did not listen' in state:
+        context.calls.exclude_earlier_agent()
+    # The clock may have been set back after the worker started.
+    is_ahead = 'time' in state
+    born_ms = int(time.time() * 1000) + 60000 if is_ahead else _BORN_MS
     _report(context, begun, started_ms=born_ms)
     scan = events.LoadJob(
         decisions.LoadStep.SCAN, context.current, LayerRange(0, _LAYERS), {}
