Settle an order whose repeats a worker refuses

A worker that kept refusing the repeats of an order without a response stayed at its old version: the order was open without limit, and newer versions were neither staged nor loaded.

A refusal that comes CALL_SETTLE_S after the last send without a response now settles the order, since an earlier send that took effect shows in the reports by then. Layers that are reported as that version later are unexplained, so they count as not loaded. The row "refused after 11 s" failed before with "the installer selects stage 3: check 2".

--- a/apricotpin/components/installer/open_calls.py
+++ b/apricotpin/components/installer/open_calls.py
@@ -25,10 +25,11 @@
     """Describe a load order that may still take effect.
 
     expected_orders is its condition, the number of orders that the worker had
-    begun by the last report. is_unanswered: no response arrived to it, or to
-    an order with the same condition before it. is_settled: a report showed
-    that it has taken effect or can't any more. are_pieces_changed: staged
-    pieces were written since it may have been accepted.
+    begun by the last report. unanswered_s is the monotonic time at which the
+    last send without a response was given up, of it or of the same order
+    before it, None if all were answered. is_settled: a report showed that it
+    has taken effect or can't any more. are_pieces_changed: staged pieces were
+    written since it may have been accepted.
     """
 
     __slots__ = (
@@ -36,9 +37,9 @@
         'expected_orders',
         'install',
         'is_settled',
-        'is_unanswered',
         'part',
         'started_ms',
+        'unanswered_s',
     )
 
     def __init__(
@@ -53,10 +54,15 @@
         self.expected_orders = expected_orders
         # The start of the worker to which the order is sent.
         self.started_ms = started_ms
-        self.is_unanswered = False
+        self.unanswered_s: float | None = None
         self.is_settled = False
         self.are_pieces_changed = False
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Return whether a send of the order got no response."""
+        return self.unanswered_s is not None
+
 
 class OpenCalls:
     """Track the calls of one worker that may still take effect.
--- a/apricotpin/components/installer/orders.py
+++ b/apricotpin/components/installer/orders.py
@@ -11,7 +11,7 @@
     is_outcome_unknown,
 )
 from apricotpin.components.installer.state import Install, WorkerState
-from apricotpin.errors import Failure
+from apricotpin.errors import ErrorKind, Failure
 from apricotpin.messages.pieces import LayerRange, OrderEffect
 
 
@@ -23,7 +23,7 @@
     order = OpenOrder(install, part, report.accepted_orders, report.started_ms)
     previous = calls.order
     if previous is not None and previous.is_unanswered:
-        order.is_unanswered = True
+        order.unanswered_s = previous.unanswered_s
         order.are_pieces_changed = previous.are_pieces_changed
         order.part = LayerRange(
             min(part.start, previous.part.start),
@@ -44,7 +44,7 @@
     if reply.is_err():
         if is_outcome_unknown(reply.err_value):
             _record_unanswered(calls, weights, order, now_s)
-        elif not order.is_unanswered:
+        elif _is_refused_late(order, reply.err_value, now_s):
             _settle(calls, order)
         return
     _settle(calls, order)
@@ -90,10 +90,23 @@
     return worker.version == version and worker.layers_end >= order.part.end
 
 
+def _is_refused_late(order: OpenOrder, failure: Failure, now_s: float) -> bool:
+    """Return whether a refused order can't take effect any more.
+
+    A refusal may be due to an earlier send, which the next reports show. If
+    they show nothing for as long as a call may take effect, layers that are
+    reported as the version later count as unexplained.
+    """
+    if not order.is_unanswered:
+        return True
+    is_settled = now_s >= order.unanswered_s + const.CALL_SETTLE_S
+    return failure.kind is ErrorKind.ENGINE_REFUSED and is_settled
+
+
 def _record_unanswered(
     calls: OpenCalls, weights: LoadedWeights, order: OpenOrder, now_s: float
 ) -> None:
-    order.is_unanswered = True
+    order.unanswered_s = now_s
     if order.started_ms != calls.worker_started_ms:
         # The worker that has started since may have received the order.
         calls.earlier_until_s = now_s + const.CALL_SETTLE_S
--- a/tests/components/installer/open_calls.feature
+++ b/tests/components/installer/open_calls.feature
@@ -15,7 +15,11 @@
       | unanswered | unanswered                         | check 2 |
       # A refusal may be due to the first order, which the report will show.
       | unanswered | refused                            | check 2 |
+      | unanswered | refused after 9 s                  | check 2 |
       | unanswered | not sent                           | check 2 |
+      # It was not received, so it does not show the worker's state.
+      | unanswered | not sent after 11 s                | check 2 |
+      | unanswered | unanswered after 5 s, refused after 11 s | check 2 |
 
     Examples: The order has taken effect, late, and what it loaded is read
       | outcome    | event                              | step     |
@@ -34,6 +38,8 @@
       | not sent   | nothing                            | stage 3 |
       | unanswered | begun                              | stage 3 |
       | unanswered | unanswered, begun                  | stage 3 |
+      # A worker that refuses each repeat must not block newer versions.
+      | unanswered | refused after 11 s                 | stage 3 |
       | unanswered | restart                            | stage 3 |
 
   Scenario: the host is suspended while an order for the version before is open
@@ -167,3 +173,9 @@
       | may follow      | 1     | 0       | 3        |
       | may follow      | 10.1  | 3       | none     |
       | does not follow | 1     | 3       | none     |
+
+  Scenario: an order that was refused for long has loaded layers all the same
+    # The order is settled, but it may have loaded other pieces since.
+    Given an installer whose order for version 2 was unanswered, then refused after 11 s
+    When the worker reports version 2 while the agent installs 3
+    Then the installer reports version 0, and verifies none
--- a/tests/steps/installer_open_calls_steps.py
+++ b/tests/steps/installer_open_calls_steps.py
@@ -90,7 +90,9 @@
     elif event == 'repair':
         open_calls.record_write(context.calls)
     else:
-        _reply(context, _begin(context), _REPLIES[event])
+        reply, _, after = event.partition(' after ')
+        after_s = float(after.removesuffix(' s') or 0)
+        _reply(context, _begin(context), _REPLIES[reply], after_s)
 
 
 def _new_state(context):
