End the stand-in worker's read when a caller closes

The rows "an agent starts beside a worker" did not end: the probe connects and closes without a request, and the stand-in of late_calls.feature read at the end of the connection in a loop. It now returns there.

--- a/tests/steps/installer_late_calls_steps.py
+++ b/tests/steps/installer_late_calls_steps.py
@@ -327,7 +327,10 @@
     def serve(connection, _address):
         received = b''
         while b'\r\n\r\n' not in received:
-            received += connection.recv(4096)
+            part = connection.recv(4096)
+            if not part:
+                return
+            received += part
         context.received.append(answer)
         if answer.isdigit():
             head = f'HTTP/1.1 {answer} -\r\nContent-Length: 0\r\n\r\n'
