--- a/apricotpin/components/gateway/hedging.py
+++ b/apricotpin/components/gateway/hedging.py
@@ -34,24 +34,17 @@
     what can be delivered ends a silence: bytes may be parts without end.
     """
     open_attempts = context.open_attempts
-    while True:
-        open_attempts.activity.clear()
-        now_s = time.monotonic()
-        if _find_winner(context) is not None or now_s >= deadline_s:
-            return Verdict.SILENT
+    while not _has_winner(context):
+        if time.monotonic() >= deadline_s:
+            break
         if not is_open_and_idle(connection) and not open_attempts.ask_at_s:
             # The bytes may have waited while this process did not run.
-            open_attempts.ask_at_s = now_s
+            open_attempts.ask_at_s = time.monotonic()
             return None
-        if now_s >= open_attempts.ask_at_s:
-            _ask_for_hedge(context)
-        else:
-            wait_until_s = min(deadline_s, open_attempts.ask_at_s)
-            wait_readable(
-                connection, open_attempts.activity, wait_until_s - now_s
-            )
+        _ask_or_wait(context, connection, deadline_s)
         if not is_open_and_idle(connection):
             return None
+    return Verdict.SILENT
 
 
 def settle(context: RequestContext, attempt: Attempt) -> Attempt:
@@ -154,6 +147,23 @@
     return attempts.select_upstream(branch)
 
 
+def _ask_or_wait(
+    context: RequestContext, connection: socket.socket, deadline_s: float
+) -> None:
+    open_attempts, now_s = context.open_attempts, time.monotonic()
+    if now_s >= open_attempts.ask_at_s:
+        _ask_for_hedge(context)
+        return
+    wait_s = min(deadline_s, open_attempts.ask_at_s) - now_s
+    wait_readable(connection, open_attempts.activity, wait_s)
+
+
+def _has_winner(context: RequestContext) -> bool:
+    # A hedge that ends after this sets the event again.
+    context.open_attempts.activity.clear()
+    return _find_winner(context) is not None
+
+
 def _find_winner(context: RequestContext) -> Hedge | None:
     """Return a hedge that can be delivered, and remove those that failed."""
     for hedge in list(context.open_attempts.hedges):
