--- a/script/standins/paced_worker.py
+++ b/script/standins/paced_worker.py
@@ -17,7 +17,7 @@
 from gevent.socket import MSG_PEEK, wait_read
 
 from script.standins.paced_weights import PacedWeights
-from script.standins.platform_worker import LAYERS
+from script.standins.platform_worker import LAYERS, respond
 
 SLOTS: Final = 4
 # A worker queues a few requests beyond its slots.
@@ -153,9 +153,9 @@
         )
         path = environ['PATH_INFO']
         if path == '/report':
-            return _respond(start_response, 200, self._report())
+            return respond(start_response, 200, self._report())
         if path.startswith('/stage-get'):
-            return _respond(start_response, 200, self.weights.staged[index])
+            return respond(start_response, 200, self.weights.staged[index])
         if path.startswith('/stage-put'):
             is_answered = self._wait_late(
                 f'copy index={index}', self.plan.late_copy_share, _LATE_COPY_S
@@ -237,13 +237,13 @@
         own = [('X-Attempt-Id', request_id)]
         expected = environ.get('HTTP_X_EXPECT_INSTANCE', self.instance_id)
         if expected != self.instance_id:
-            return _respond(start_response, 421, b'', own)
+            return respond(start_response, 421, b'', own)
         if not self._take_slot(int(environ['HTTP_X_DEADLINE_MS']) / 1000):
             not_run = [*own, ('X-Not-Executed', '1')]
-            return _respond(start_response, 503, b'', not_run)
+            return respond(start_response, 503, b'', not_run)
         if len(self.weights.layers) < LAYERS:
             self._slots.release()
-            return _respond(start_response, 421, b'', own)
+            return respond(start_response, 421, b'', own)
         run = Run(self.instance_id, environ, body)
         self.runs.append(run)
         self._running.add(run)
@@ -324,7 +324,7 @@
     if not is_answered:
         gevent.sleep(_UNANSWERED_S)
         raise ConnectionResetError(104, 'a call without a response')
-    return _respond(start_response, status, b'')
+    return respond(start_response, status, b'')
 
 
 def _wait(run: Run, duration_s: float) -> None:
@@ -349,14 +349,3 @@
         connection.shutdown(2)
     except OSError:
         return
-
-
-def _respond(
-    start_response: Any,
-    status: int,
-    content: bytes,
-    headers: list[tuple[str, str]] | None = None,
-) -> list[bytes]:
-    fields = [*(headers or ()), ('Content-Length', str(len(content)))]
-    start_response(f'{status} Answer', fields)
-    return [content]
--- a/script/standins/platform_worker.py
+++ b/script/standins/platform_worker.py
@@ -102,14 +102,14 @@
                 'busy': False,
                 **self.loaded_weights(),
             }
-            return _respond(start_response, 200, json.dumps(fields).encode())
+            return respond(start_response, 200, json.dumps(fields).encode())
         if path.startswith('/stage-put'):
             self.staged[int(query['chunk_count'])] = body
-            return _respond(start_response, 200, b'')
+            return respond(start_response, 200, b'')
         if path.startswith('/stage-get'):
             content = self.staged.get(int(query['chunk_count']))
             status = 404 if content is None else 200
-            return _respond(start_response, status, content or b'')
+            return respond(start_response, status, content or b'')
         if path == '/order':
             return self._order(start_response, json.loads(body))
         return self._serve(environ, start_response)
@@ -133,7 +133,7 @@
         # A worker loads whatever pieces are staged. A version of -1 shows the
         # test that they were not the complete set of the ordered version.
         self.version = order['version'] if is_complete else -1
-        return _respond(start_response, 202, b'')
+        return respond(start_response, 202, b'')
 
     def _serve(self, environ: dict[str, Any], start_response: Any) -> Any:
         request_id = environ.get('HTTP_X_ATTEMPT_ID', '')
@@ -144,10 +144,10 @@
         self.requests.append(environ)
         headers = [('X-Attempt-Id', request_id), ('X-Server-Seal', 'seal')]
         if environ.get('HTTP_X_EXPECT_INSTANCE') != self.instance_id:
-            return _respond(start_response, 421, b'', headers[:1])
+            return respond(start_response, 421, b'', headers[:1])
         if fault == 'full':
             not_run = [headers[0], ('X-Not-Executed', '1')]
-            return _respond(start_response, 503, b'', not_run)
+            return respond(start_response, 503, b'', not_run)
         self.executed_ids.append(request_id)
         if self.crashes.deadly_parts & set(_prompt_parts(environ)):
             self.crashes.arrivals_s.append(time.monotonic())
@@ -167,7 +167,7 @@
             last_event_id = int(environ.get('HTTP_LAST_EVENT_ID') or 0)
             return self._events(last_event_id, fault == 'broken_stream')
         status = 500 if fault == 'error' else 200
-        return _respond(start_response, status, b'answer', headers)
+        return respond(start_response, status, b'answer', headers)
 
     def _crash(self) -> None:
         now_s = time.monotonic()
@@ -236,13 +236,13 @@
             if self.corrupt_manifests:
                 self.corrupt_manifests -= 1
                 _corrupt_manifest(fields, self.corrupt_part)
-            return _respond(start_response, 200, json.dumps(fields).encode())
+            return respond(start_response, 200, json.dumps(fields).encode())
         self.pieces_sent += 1
         content = piece_of(version, int(query['chunk_count']))
         if self.corrupt_next:
             self.corrupt_next -= 1
             content = bytes(reversed(content))
-        return _respond(start_response, 200, content)
+        return respond(start_response, 200, content)
 
 
 def _corrupt_manifest(fields: dict[str, Any], part: str) -> None:
@@ -257,12 +257,13 @@
         digests.pop()
 
 
-def _respond(
+def respond(
     start_response: Any,
     status: int,
     content: bytes,
     headers: list[tuple[str, str]] | None = None,
 ) -> list[bytes]:
+    """Send a response with this content; return its body."""
     fields = [*(headers or ()), ('Content-Length', str(len(content)))]
     start_response(f'{status} Answer', fields)
     return [content]
