End an attempt whose worker sends without end in a silence

Callers of small requests waited up to 1.6 s beside 120 requests to workers that send chunks without end: since silent attempts stay open, these were read at full speed to their deadlines, beside their hedges.

An attempt that has received 16 KiB within a silence, without what its reader waits for, ends as silent.

--- a/apricotpin/helpers/exchange.py
+++ b/apricotpin/helpers/exchange.py
@@ -22,6 +22,9 @@
 # polls sockets and timers. A sleep of 1 ms, the shortest that epoll supports,
 # lets them run.
 _YIELD_S: Final = 0.001
+# An upstream that sends this much in a silence, without what the reader waits
+# for, sends without end; reading it would delay other requests.
+SILENT_BYTES_MAX: Final = 16384
 # A time-out of 0 would make the socket non-blocking.
 _WAIT_MIN_S: Final = 0.001
 
@@ -77,6 +80,7 @@
         '_on_silence',
         '_received',
         '_silence_timeout_s',
+        '_silent_bytes',
     )
 
     def __init__(
@@ -96,6 +100,7 @@
         self.sent = False
         self._is_request_complete = False
         self._is_silent = False
+        self._silent_bytes = 0
         self._on_silence: SilenceHandler | None = None
         self._connection: socket.socket | None = connection
         self._silence_timeout_s = silence_timeout_s
@@ -116,6 +121,7 @@
         it is set again.
         """
         self._is_silent = False
+        self._silent_bytes = 0
         self._on_silence = handler
 
     def send(self, encoded: bytes) -> Verdict | None:
@@ -269,6 +275,7 @@
             return on_end
         if self._received is not None:
             self._received += received
+        self._silent_bytes += len(received)
         self.parser.parse(received)
         if len(received) == RECEIVE_BYTES:
             # recv yields to other greenlets only if no bytes are waiting.
@@ -281,6 +288,10 @@
     def _wait_in_silence(self) -> Verdict | None:
         if self._on_silence is None or time.monotonic() >= self._deadline_s:
             return Verdict.SILENT
+        if not self._is_silent:
+            self._silent_bytes = 0
+        if self._silent_bytes >= SILENT_BYTES_MAX:
+            return Verdict.SILENT
         self._is_silent = True
         return self._on_silence(self._connection, self._deadline_s)
 
