Log and measure how old the last proof of the newest desired state is

Each host now has the gauge desired_state_age_s, and logs desired_state_unconfirmed (version, age, last failure) once the age is above a limit and desired_state_confirmed when it is not any more. Hosts that do not read the store get the age from hellos (config_age_ms, 5 bytes each).

--- a/apricotpin/components/follower/__init__.py
+++ b/apricotpin/components/follower/__init__.py
@@ -2,18 +2,8 @@
 
 from result import Ok, Result
 
-from apricotpin.components.follower import decisions
-from apricotpin.components.follower.const import RESTORE_CHECK_PERIOD_S
-from apricotpin.components.follower.events import (
-    CheckFetchDue,
-    CheckOverdueRemovals,
-    FeedRead,
-    FetchEnded,
-    GetCachedRecords,
-    GetListSources,
-    GetPeerAddresses,
-    ShouldReadStore,
-)
+from apricotpin.components.follower import const, decisions, events
+from apricotpin.components.follower.confirmation import ConfirmationTracker
 from apricotpin.components.follower.feed_reads import read_feed_forever
 from apricotpin.components.follower.list_sharing import ListSharing
 from apricotpin.components.follower.peer_exchange import PeerExchange
@@ -25,6 +15,7 @@
 from apricotpin.messages.desired import DesiredStateChanged
 from apricotpin.messages.feeds import Feed, ReadFeed, ReadSharedList
 from apricotpin.messages.fleet import (
+    ConfigVersionConfirmed,
     ConfigVersionReceived,
     EntryHostsChanged,
     DeclaredVersionReceived,
@@ -40,19 +31,32 @@
     )
     peers = PeerExchange(kernel, list_age_max_s)
     sharing = ListSharing(list_age_max_s)
+    tracker = ConfirmationTracker(kernel)
+
+    def handle_state(message: DesiredStateChanged, reply: Reply) -> None:
+        tracker.record_state(message)
+        peers.record_state(message, reply)
 
-    def handle_read(message: FeedRead, reply: Reply) -> None:
+    def handle_read(message: events.FeedRead, reply: Reply) -> None:
         peers.record_read(message)
         service.apply_read(message, reply)
         sharing.record_read(message)
+        # After a new state was published, so that no hello names the old one
+        # as confirmed.
+        tracker.record_read(message)
 
     def start(_message: Started, reply: Reply) -> None:
         for feed in Feed:
             kernel.spawn(read_feed_forever, kernel, feed)
         kernel.send_every(
             SERVICE_CONFIGURATION,
-            CheckOverdueRemovals(),
-            RESTORE_CHECK_PERIOD_S,
+            events.CheckOverdueRemovals(),
+            const.RESTORE_CHECK_PERIOD_S,
+        )
+        kernel.send_every(
+            SERVICE_CONFIGURATION,
+            events.CheckConfirmation(),
+            const.CONFIRMATION_CHECK_PERIOD_S,
         )
         reply.ok()
 
@@ -60,21 +64,23 @@
         SERVICE_CONFIGURATION,
         {
             Started: start,
-            FeedRead: handle_read,
-            DesiredStateChanged: peers.record_state,
+            events.FeedRead: handle_read,
+            DesiredStateChanged: handle_state,
+            ConfigVersionConfirmed: tracker.record_peer,
+            events.CheckConfirmation: tracker.check,
             DeclaredVersionReceived: service.record_declared_version,
             ConfigVersionReceived: peers.record_peer_version,
-            CheckFetchDue: peers.check_fetch_due,
-            FetchEnded: peers.end_fetch,
-            ShouldReadStore: peers.should_read_store,
+            events.CheckFetchDue: peers.check_fetch_due,
+            events.FetchEnded: peers.end_fetch,
+            events.ShouldReadStore: peers.should_read_store,
             EntryHostsChanged: peers.update_hosts,
-            GetPeerAddresses: peers.list_addresses,
-            GetListSources: peers.list_sources,
+            events.GetPeerAddresses: peers.list_addresses,
+            events.GetListSources: peers.list_sources,
             ReadSharedList: sharing.read,
             UpstreamUnlisted: sharing.record_unlisted,
-            GetCachedRecords: peers.list_cached_records,
+            events.GetCachedRecords: peers.list_cached_records,
             ReadFeed: peers.read_feed,
-            CheckOverdueRemovals: service.check_overdue_removals,
+            events.CheckOverdueRemovals: service.check_overdue_removals,
         },
     )
     return Ok(None)
--- a/apricotpin/components/follower/const.py
+++ b/apricotpin/components/follower/const.py
@@ -5,6 +5,11 @@
 # The store replies to a read for changes after at most this time. A
 # connection that no longer delivers anything is detected within it.
 LONG_POLL_S: Final = 4.0
+# A host whose last proof that it has the newest desired state is older than
+# this logs it. Without failures the age stays below the sum of a long poll, a
+# read and the period of hellos.
+UNCONFIRMED_LIMIT_S: Final = 6.0
+CONFIRMATION_CHECK_PERIOD_S: Final = 0.5
 # Pause between two reads of the upstream list. Workers report about every
 # 1.2 s, and a draining one must get no new requests from 2 s after its notice
 # on, so the list is read well within that.
--- a/apricotpin/components/follower/events.py
+++ b/apricotpin/components/follower/events.py
@@ -89,6 +89,12 @@
         self.feed = feed
 
 
+class CheckConfirmation:
+    """Ask to measure how old the last proof of the newest state is."""
+
+    __slots__ = ()
+
+
 class CheckOverdueRemovals:
     """Ask to remove upstreams whose entries were not restored in time."""
 
--- a/apricotpin/components/metrics/const.py
+++ b/apricotpin/components/metrics/const.py
@@ -95,6 +95,12 @@
         'the same data centre (near) or in another one (far)',
         'source',
     ),
+    Metric(
+        'desired_state_age_s',
+        KIND_GAUGE,
+        'seconds since a source showed that the desired state in force here '
+        'is the newest',
+    ),
     Metric('heartbeats_total', KIND_COUNTER, 'heartbeats received'),
     Metric('hosts_known', KIND_GAUGE, 'hosts in the table, by state', 'state'),
     Metric(
--- a/apricotpin/components/presence/__init__.py
+++ b/apricotpin/components/presence/__init__.py
@@ -73,6 +73,7 @@
             datagrams.DatagramReceived: presence.handle_datagram,
             entry_host.Tick: presence.handle_tick,
             desired.DesiredStateChanged: presence.apply_state,
+            desired.DesiredStateConfirmed: presence.config.record_confirmation,
             desired.ModelVersionChanged: presence.record_version,
             desired.EarlierVersionDeclared: presence.record_version,
             upstreams.UpstreamListed: presence.record_upstream,
--- a/apricotpin/components/presence/const.py
+++ b/apricotpin/components/presence/const.py
@@ -30,6 +30,11 @@
 # the recent window.
 PATH_RECENT_WINDOW_S: Final = 1.5
 PATH_BASELINE_WINDOW_S: Final = 30.0
+# A hello's confirmation of the desired state is passed on if it is younger than
+# the last one by this time, so that not every hello costs a message.
+CONFIRMATION_STEP_S: Final = 0.25
+# The largest age that a hello states: its field has 32 bits.
+CONFIRMATION_AGE_MAX_MS: Final = 2147483647
 STORE_TIMEOUT_S: Final = 3.0
 # Pause between attempts to write the record of this host to the store.
 RECORD_RETRY_S: Final = 0.5
--- a/apricotpin/components/presence/entry_host.py
+++ b/apricotpin/components/presence/entry_host.py
@@ -12,6 +12,10 @@
     schedule,
     switching,
 )
+from apricotpin.components.presence.config_state import (
+    ConfigState,
+    find_confirmation,
+)
 from apricotpin.components.presence.datagrams import (
     DatagramReceived,
     send_to_each,
@@ -42,7 +46,7 @@
     """Track agents and other entry hosts, and send hellos to them."""
 
     __slots__ = (
-        '_config_version',
+        'config',
         '_declared_versions',
         '_evidence',
         '_delays_s',
@@ -67,8 +71,7 @@
         self._known = KnownHosts(self._own_host)
         self._declared_versions = DeclaredVersions()
         self._host_timings: dict[str, paths.HostTimings] = {}
-        # Version of the desired state that is in force here.
-        self._config_version = 0
+        self.config = ConfigState()
         self._resumable_services: frozenset[str] = frozenset()
         self._ticks = 0
         self._evidence: prompts.CrashEvidence | None = None
@@ -90,7 +93,7 @@
             if spec.engine is not None
         }
         self._resumable_services = decisions.resumable_services(message.state)
-        self._config_version = message.state.version
+        self.config.version = message.state.version
         self._send_entry_hello(*self._known.entry_receivers())
         reply.ok()
 
@@ -218,13 +221,18 @@
             self._send_entry_hello(
                 self._known.receiver(hello.peer_address, hello.data_centre)
             )
-        if hello.config_version > self._config_version:
+        if hello.config_version > self.config.version:
             self._kernel.send(
                 SERVICE_CONFIGURATION,
                 fleet.ConfigVersionReceived(
                     hello.peer_address, hello.config_version
                 ),
             )
+        confirmation = find_confirmation(
+            self.config, hello, clocks.boot_time_s()
+        )
+        if confirmation is not None:
+            self._kernel.send(SERVICE_CONFIGURATION, confirmation)
         if hello.evidence is not None:
             self._kernel.publish(prompts.CrashEvidenceReceived(hello.evidence))
         for target in (*hello.earlier, *hello.targets):
@@ -320,11 +328,12 @@
             self._own_host.peer_address,
             self._own_host.data_centre,
             self._declared_versions.targets(self._known.models),
-            config_version=self._config_version,
+            config_version=self.config.version,
             earlier=self._declared_versions.earlier(self._known.models),
             sent_ms=int(now_s * _MS_PER_S),
             paths=paths.to_messages(self._delays_s),
             evidence=self._evidence,
+            config_age_ms=self.config.age_ms(),
         )
         hello_schedule = self._known.entry_schedule()
         for is_local in (True, False):
--- a/apricotpin/messages/desired.py
+++ b/apricotpin/messages/desired.py
@@ -209,6 +209,18 @@
         self.state = state
 
 
+class DesiredStateConfirmed:
+    """Announce when a source showed that the state in force is the newest.
+
+    confirmed_s is on the boot-time clock.
+    """
+
+    __slots__ = ('confirmed_s',)
+
+    def __init__(self, confirmed_s: float) -> None:
+        self.confirmed_s = confirmed_s
+
+
 class ModelVersionChanged:
     """Announce a declared version of weights and the age of the declaration.
 
--- a/apricotpin/messages/fleet.py
+++ b/apricotpin/messages/fleet.py
@@ -45,10 +45,12 @@
     sent. paths holds the delays that the sender measured for datagrams that
     it received. The next hello to the receiver is sent within period_ms, 0 if
     that is not said. evidence holds the crashes of workers on parts of prompts,
-    None if none are known.
+    None if none are known. config_age_ms is how long ago the store showed that
+    config_version was the newest, -1 if that is not known.
     """
 
     __slots__ = (
+        'config_age_ms',
         'config_version',
         'data_centre',
         'earlier',
@@ -81,7 +83,10 @@
         paths: list[PathDelay] | None = None,
         period_ms: int | None = 0,
         evidence: CrashEvidence | None = None,
+        config_age_ms: int | None = -1,
     ) -> None:
+        # Hosts of earlier versions do not send it.
+        self.config_age_ms = -1 if config_age_ms is None else config_age_ms
         self.evidence = evidence
         self.sent_ms = sent_ms
         # Hosts of earlier versions do not send it.
@@ -249,3 +254,14 @@
 
     def __init__(self, report: LoadReport) -> None:
         self.report = report
+
+
+class ConfigVersionConfirmed:
+    """Report how long ago a version was the newest, as an entry host knows."""
+
+    __slots__ = ('age_s', 'peer_address', 'version')
+
+    def __init__(self, peer_address: str, version: int, age_s: float) -> None:
+        self.peer_address = peer_address
+        self.version = version
+        self.age_s = age_s
--- a/apricotpin/wire/peer.thrift
+++ b/apricotpin/wire/peer.thrift
@@ -180,6 +180,7 @@
   12: list<PathDelay> paths
   13: i32 period_ms
   14: CrashEvidence evidence
+  15: i32 config_age_ms
 }
 
 struct LoadReport {
