Test for a desired state that is late after an outage of the store, failing

Three entry hosts as processes, with a stand-in store that is silent for a time to all calls, those of some hosts or one topic, or whose open connections are silent for good. The bound is contact_ms after the store responds again, and drain_ms for a worker that drains; both come from the settings of the fleet.

--- a/script/standins/platform_store.py
+++ b/script/standins/platform_store.py
@@ -13,21 +13,59 @@
 _LENGTH: Final = struct.Struct('>I')
 _OFFSETS: Final = struct.Struct('>QQ')
 _NEWEST_PAGE_MAX: Final = 500
+# Longer than any test waits.
+_SILENT_S: Final = 60
+_TRICKLE_PAUSE_S: Final = 0.3
+
+
+class Outage:
+    """Describe a time without responses, for which calls it holds.
+
+    addresses and topics limit the calls to those of these hosts and topics,
+    unless they are empty. With only_open, only calls on connections that were
+    open when it began get no response. is_over ends it; a call that was in
+    progress or arrived before gets no response after that either.
+    """
+
+    __slots__ = ('addresses', 'began_s', 'is_over', 'only_open', 'topics')
+
+    def __init__(
+        self,
+        addresses: tuple[str, ...] = (),
+        topics: tuple[str, ...] = (),
+        only_open: bool = False,
+    ) -> None:
+        self.addresses = addresses
+        self.topics = topics
+        self.only_open = only_open
+        self.began_s = gevent.get_hub().loop.now()
+        self.is_over = False
+
+    def applies_to(self, environ: dict[str, Any], topic: str) -> bool:
+        """Return whether a call that arrives or ends now gets no response."""
+        if self.only_open:
+            return environ['standin.opened_s'] <= self.began_s
+        if self.is_over:
+            return False
+        is_named = not self.topics or topic in self.topics
+        address = environ['REMOTE_ADDR']
+        return is_named and (not self.addresses or address in self.addresses)
 
 
 class PlatformStore:
     """Own the records of each topic and the fault to inject.
 
     Faults: busy responds with 503, silent does not respond for 60 s, forget
-    responds to reads with 410; an empty text means none. Requests from
-    refused_addresses get 503.
+    responds to reads with 410, trickle sends one byte each 0.3 s; an empty text
+    means none. Requests from refused_addresses get 503.
     """
 
-    __slots__ = ('_changed', 'fault', 'refused_addresses', 'topics')
+    __slots__ = ('_changed', 'fault', 'outages', 'refused_addresses', 'topics')
 
     def __init__(self) -> None:
         self.topics: dict[str, list[tuple[str, bytes]]] = {}
         self.fault = ''
+        self.outages: list[Outage] = []
         self.refused_addresses: set[str] = set()
         self._changed = Event()
 
@@ -39,15 +77,31 @@
         ):
             return _respond(start_response, 503, b'')
         if self.fault == 'silent':
-            gevent.sleep(60)
+            gevent.sleep(_SILENT_S)
         query = dict(parse_qsl(environ['QUERY_STRING']))
+        silent = [
+            outage
+            for outage in self.outages
+            if outage.applies_to(environ, query['topic'])
+        ]
+        if silent:
+            gevent.sleep(_SILENT_S)
         operation = {
             '/log-newest': self._read_newest,
             '/log-read': self._read,
             '/log-append': self._append,
         }[environ['PATH_INFO']]
         body = environ['wsgi.input'].read()
+        before = len(self.outages)
         status, content = operation(query, body)
+        # An outage that began meanwhile holds also if it is over by now.
+        if any(
+            outage.applies_to(environ, query['topic']) or outage.is_over
+            for outage in self.outages[before:]
+        ):
+            gevent.sleep(_SILENT_S)
+        if self.fault == 'trickle':
+            return _trickle(start_response, content)
         return _respond(start_response, status, content)
 
     def put(self, topic: str, key: str, document: Any) -> None:
@@ -105,6 +159,13 @@
         return 200, b'{"offset": 0, "end_offset": 1}'
 
 
+def _trickle(start_response: Any, content: bytes) -> Any:
+    start_response('200 Answer', [('Content-Length', str(len(content)))])
+    for byte in content:
+        gevent.sleep(_TRICKLE_PAUSE_S)
+        yield bytes([byte])
+
+
 def _respond(start_response: Any, status: int, content: bytes) -> list[bytes]:
     headers = [('Content-Length', str(len(content)))]
     start_response(f'{status} Answer', headers)
