End a read of the log that is never answered within the 8 s of a change

What callers would see: on our own interface a host keeps an old configuration for up to 12 s after the log service has responded again (the target is 8 s).

Cause: as with the platform's store, a read waited 10 s for a change and 2 s more for a response, and the back-off after failures grew to 5 s.

Change: long polls of 3 s and a back-off of at most 2 s, so that the longest waits that follow one another take 7 s. An entry host sends at most one read each 3 s in place of 10 s.

--- a/apricotpin/components/configuration/const.py
+++ b/apricotpin/components/configuration/const.py
@@ -9,11 +9,13 @@
 # Accepted offset while no configuration has been accepted yet.
 NO_OFFSET: Final = -1
 
-# Shorter than the idle time-out of common load balancers.
-LONG_POLL_MS: Final = 10000
+# A read that the log never answers ends LOG_TIMEOUT_S after its long poll, and
+# a back-off may follow. Their sum has to leave time to fetch a configuration
+# within the 8 s in which it is to be in force.
+LONG_POLL_MS: Final = 3000
 LOG_TIMEOUT_S: Final = 2.0
 BACKOFF_FIRST_S: Final = 0.2
-BACKOFF_MAX_S: Final = 5.0
+BACKOFF_MAX_S: Final = 2.0
 # Limits the request rate if the log responds to long polls at once.
 EMPTY_READ_PAUSE_S: Final = 0.05
 
