--- a/apricotpin/helpers/hedged_reads.py
+++ b/apricotpin/helpers/hedged_reads.py
@@ -18,9 +18,9 @@
     """Limit how long a read may take before it is sent again.
 
     A read is sent again on a new connection if its response has not begun
-    within overdue_s, or is not complete within transfer_s after that. It fails
-    if no response has begun within timeout_s. The times count from the moment
-    up to which the server may hold the response.
+    within overdue_s, or is not complete transfer_s after it has begun. It fails
+    if no response has begun within timeout_s. overdue_s and timeout_s count
+    from the moment up to which the server may hold the response.
     """
 
     __slots__ = ('overdue_s', 'timeout_s', 'transfer_s')
@@ -55,9 +55,9 @@
 
     __slots__ = (
         '_attempts',
+        '_begun_s',
         '_client',
         '_events',
-        '_has_begun',
         '_request',
         '_running',
         '_second',
@@ -76,7 +76,8 @@
         self._events: Queue = Queue()
         self._attempts: list[gevent.Greenlet] = []
         self._running = 0
-        self._has_begun = False
+        # When the first response began, on the monotonic clock.
+        self._begun_s: float | None = None
         request.on_head = self._note_head
         second.on_head = self._note_head
 
@@ -86,14 +87,14 @@
         overdue_s = held_until_s + limits.overdue_s
         self._start(self._request)
         outcome = self._await(overdue_s)
-        if outcome is None and self._has_begun:
-            outcome = self._await(overdue_s + limits.transfer_s)
+        if outcome is None and self._begun_s is not None:
+            outcome = self._await(self._begun_s + limits.transfer_s)
         if outcome is None:
             # What made one connection silent may hold for all that were open.
             self._client.drop_idle()
             self._start(self._second)
             outcome = self._await(held_until_s + limits.timeout_s)
-        if outcome is None and self._has_begun:
+        if outcome is None and self._begun_s is not None:
             # The client limits the time of each attempt.
             outcome = self._await(None)
         return outcome or Err(Verdict.SILENT)
@@ -128,7 +129,7 @@
         except Empty:
             return None
         if event is _HEAD_RECEIVED:
-            self._has_begun = True
+            self._begun_s = self._begun_s or time.monotonic()
         else:
             self._running -= 1
         return event
--- a/tests/helpers/hedged.feature
+++ b/tests/helpers/hedged.feature
@@ -4,7 +4,7 @@
   after it.
 
   Scenario Outline: a read whose attempts are <first> and then <second> ends as <outcome> after <attempts> attempts
-    Given hedged peer whose attempts are <first> and then <second>
+    Given hedged peer whose attempts are <first>, and after that <second>
     When hedged peer is sent a read that it may hold for <held> s
     Then hedged read ends as <outcome> after <attempts> attempts
     And hedged read took between <least> and <most> s
@@ -18,15 +18,16 @@
       | late      | silent    | 0    | right               | 2        | 0.4   | 0.55 |
       | held      | answered  | 0.4  | right               | 1        | 0.4   | 0.55 |
       | silent    | answered  | 0.4  | right               | 2        | 0.6   | 0.75 |
-      | trickling | answered  | 0    | right               | 2        | 0.5   | 0.65 |
+      | trickling | answered  | 0    | right               | 2        | 0.3   | 0.45 |
       | trickling | trickling | 0    | silent              | 2        | 1.0   | 2.4  |
+      | held then trickling | answered | 0.4 | right      | 2        | 0.7   | 0.85 |
       | closed    | answered  | 0    | reset_before_answer | 1        | 0.0   | 0.15 |
       | silent    | closed    | 0    | silent              | 2        | 0.6   | 0.75 |
       | late      | closed    | 0    | right               | 2        | 0.4   | 0.55 |
 
   Scenario: a read that is overdue is not sent again on a connection that was open before
     # What made one connection silent may hold for all that were open.
-    Given hedged peer whose attempts are answered and then answered
+    Given hedged peer whose attempts are answered, and after that answered
     And hedged peer's open connections become silent after 2 reads at once
     When hedged peer is sent a read that it may hold for 0 s
     Then hedged read ends as right after 2 attempts
--- a/tests/platform/outages.feature
+++ b/tests/platform/outages.feature
@@ -18,6 +18,10 @@
       | 6.2    | calls for the desired state    |
       | 6.2    | calls of two hosts             |
 
+    Examples: store whose responses trickle
+      | silent | calls                          |
+      | 4.0    | all calls, byte by byte        |
+
     Examples: connections to the store that are silent for good
       | silent | calls                          |
       | 0.1    | connections that are open then |
--- a/tests/steps/hedged_steps.py
+++ b/tests/steps/hedged_steps.py
@@ -65,22 +65,22 @@
         with gevent.Timeout(_SILENT_S, False):
             connection.recv(1)
         return False
-    if attempt in {'late', 'held'}:
+    if attempt.startswith(('late', 'held')):
         gevent.sleep(_LATE_S)
     parts = [_RESPONSE]
-    if attempt == 'trickling':
+    if attempt.endswith('trickling'):
         parts = [_RESPONSE[:-5], *([b'r'] * 4)]
     for part in parts:
         try:
             connection.sendall(part)
         except OSError:
             return False
-        if attempt == 'trickling':
+        if attempt.endswith('trickling'):
             gevent.sleep(_TRICKLE_PAUSE_S)
     return True
 
 
-@given('hedged peer whose attempts are {first} and then {second}')
+@given('hedged peer whose attempts are {first}, and after that {second}')
 def start_peer(context, first, second):
     context.peer = _Peer((first, second))
     context.cleanups = [context.peer.close]
--- a/tests/steps/platform_outage_steps.py
+++ b/tests/steps/platform_outage_steps.py
@@ -72,6 +72,12 @@
 
 @when("platform's store is silent for {silent:g} s to {calls}")
 def silence(context, silent, calls):
+    if calls.endswith('byte by byte'):
+        context.fleet.store.fault = 'trickle'
+        gevent.sleep(silent)
+        context.fleet.store.fault = ''
+        context.back_s = time.monotonic()
+        return
     addresses = tuple(context.fleet.store_ip(ip) for ip in context.hosts)
     outage = Outage(**_CALLS[calls](addresses))
     context.fleet.store.outages.append(outage)
