State in hellos only confirmations that this host has read

Cause: a host that had heard of a confirmation stated its age in its own hellos. The age is taken on the arrival of a hello, so that each hop makes it younger by its delay, and two hosts that hear each other late keep a state from before an outage young.

Change: hellos state the age of the last own read only, so that an age from a hello is wrong by one delay at most.

--- a/apricotpin/components/follower/confirmation.py
+++ b/apricotpin/components/follower/confirmation.py
@@ -96,7 +96,11 @@
         elif is_confirmation(message):
             # A read without entries has waited for them; one with entries was
             # answered as soon as they were there.
-            self._confirm(clocks.boot_time_s(), message.source)
+            confirmed_s = clocks.boot_time_s()
+            self._confirm(confirmed_s, message.source)
+            # Hellos pass on only what this host has read. If hosts passed on
+            # each other's ages, each hop would make them younger by its delay.
+            self._kernel.publish(DesiredStateConfirmed(confirmed_s))
 
     def record_peer(
         self, message: ConfigVersionConfirmed, reply: Reply
@@ -137,7 +141,6 @@
                 unconfirmed_ms=age_ms,
                 source=source,
             ).info('desired_state_confirmed')
-        self._kernel.publish(DesiredStateConfirmed(confirmed_s))
 
 
 def _age_ms(confirmation: Confirmation, now_s: float) -> int:
--- a/tests/components/follower/confirmation.feature
+++ b/tests/components/follower/confirmation.feature
@@ -32,6 +32,13 @@
       | 6       | 1.0 | 3.0 | does not pass on |
       | 8       | 1.0 | 3.0 | does not pass on |
 
+  Scenario: hosts that hear each other's hellos late do not make an age younger
+    # Each hop adds its delay. Two hosts that passed on what they heard from
+    # each other would take a state from before an outage for the newest.
+    Given follower's host has version 7, which was confirmed 5 s ago
+    When follower's host exchanges 6 hellos with another one, each 0.3 s late
+    Then follower's host states an age of 6.8 s or more
+
   Scenario Outline: after <unconfirmed> s without a confirmation the log has <lines>
     When follower has no confirmation for <unconfirmed> s and then one
     Then follower logs the events <lines>
--- a/tests/steps/follower_confirmation_steps.py
+++ b/tests/steps/follower_confirmation_steps.py
@@ -1,6 +1,7 @@
 """Steps for the age of the last proof of the newest desired state."""
 
 from behave import given, then, when
+from gevent import sleep
 from loguru import logger
 from result import Err, Ok
 
@@ -16,12 +17,19 @@
 )
 from apricotpin.core import Kernel, Reply
 from apricotpin.errors import ErrorKind, Failure
-from apricotpin.messages.desired import DesiredStateChanged
+from apricotpin.helpers import clocks
+from apricotpin.messages.desired import (
+    DesiredState,
+    DesiredStateChanged,
+    DesiredStateConfirmed,
+)
 from apricotpin.messages.feeds import Feed, FeedPage
 from apricotpin.messages.fleet import ConfigVersionConfirmed, EntryHello
 from tests.steps.routes_steps import make_state
 
 _NOW_S = 1000.0
+_MS_PER_S = 1000
+_DELIVERY_WAIT_S = 0.01
 _PEER = '10.0.0.9:7700'
 
 
@@ -98,3 +106,51 @@
 def logs(context, lines):
     found = ' '.join(context.events) or 'nothing'
     assert found == lines, found
+
+
+@when(
+    "follower's host exchanges {count:d} hellos with another one, each "
+    '{late:g} s late'
+)
+def exchanges_hellos(context, count, late):
+    configs = [context.config_state, ConfigState()]
+    configs[1].version = configs[0].version
+    context.config_state.confirmed_s = clocks.boot_time_s() - (
+        _NOW_S - context.config_state.confirmed_s
+    )
+    for turn in range(count):
+        sender, receiver = configs[turn % 2], configs[1 - turn % 2]
+        hello = EntryHello(
+            'e',
+            _PEER,
+            'a',
+            [],
+            config_version=sender.version,
+            config_age_ms=sender.age_ms(),
+        )
+        sleep(late)
+        found = find_confirmation(receiver, hello, clocks.boot_time_s())
+        _track(receiver, found)
+
+
+def _track(config, confirmed):
+    """Handle a confirmation as the follower does, for the next hellos."""
+    kernel = Kernel('entry')
+    kernel.register(
+        'presence',
+        {DesiredStateConfirmed: config.record_confirmation},
+    )
+    tracker = confirmation.ConfirmationTracker(kernel, 1.5)
+    tracker.record_state(
+        DesiredStateChanged(DesiredState(config.version, (), (), (), None))
+    )
+    if confirmed is not None:
+        tracker.record_peer(confirmed, Reply())
+    sleep(_DELIVERY_WAIT_S)
+    kernel.stop()
+
+
+@then("follower's host states an age of {age:g} s or more")
+def states_age(context, age):
+    found = context.config_state.age_ms()
+    assert found >= age * _MS_PER_S, found
