--- a/apricotpin/components/follower/decisions.py
+++ b/apricotpin/components/follower/decisions.py
@@ -7,7 +7,13 @@
 from apricotpin.components.follower.compression import compress
 from apricotpin.components.follower.events import PeerAddresses
 from apricotpin.errors import ErrorKind
-from apricotpin.messages.feeds import Feed, FeedPage, FeedRecord, FeedRecords
+from apricotpin.messages.feeds import (
+    EntryHost,
+    Feed,
+    FeedPage,
+    FeedRecord,
+    FeedRecords,
+)
 from apricotpin.messages.upstreams import UpstreamEntry
 
 
@@ -180,6 +186,15 @@
     )
 
 
+def group_peers(hosts: tuple[EntryHost, ...]) -> PeerAddresses:
+    """Group the addresses of the other hosts; this host is the first one."""
+    near, far = [], []
+    for host in hosts[1:]:
+        is_near = host.data_centre == hosts[0].data_centre
+        (near if is_near else far).append(host.peer_address)
+    return PeerAddresses(tuple(near), tuple(far))
+
+
 def peers_to_ask(
     peers: PeerAddresses, turn: int, shuffle: Callable[[list[str]], None]
 ) -> list[str]:
--- a/apricotpin/components/follower/peer_exchange.py
+++ b/apricotpin/components/follower/peer_exchange.py
@@ -19,7 +19,6 @@
     GetCachedRecords,
     GetListSources,
     GetPeerAddresses,
-    PeerAddresses,
     ShouldReadStore,
 )
 from apricotpin.const import SERVICE_CONFIGURATION
@@ -116,15 +115,7 @@
 
     def list_addresses(self, _message: GetPeerAddresses, reply: Reply) -> None:
         """Reply with the peer addresses of the other entry hosts."""
-        state = self._source_state
-        others = [host.peer_address for host in state.hosts[1:]]
-        near = [
-            address
-            for address in others
-            if readers.source_label(state, address) == readers.NEAR
-        ]
-        far = [address for address in others if address not in near]
-        reply.ok(PeerAddresses(tuple(near), tuple(far)))
+        reply.ok(decisions.group_peers(self._source_state.hosts))
 
     def read_feed(self, message: ReadFeed, reply: Reply) -> None:
         """Read a feed for another entry host."""
--- a/apricotpin/platform/store_client.py
+++ b/apricotpin/platform/store_client.py
@@ -21,8 +21,8 @@
 from apricotpin.platform.entries import DECODE_ERRORS
 
 # A page of 1 MB takes a second over the link between two regions. A read is
-# sent again once its response has taken the first time, and each attempt ends
-# once it has taken the second one.
+# sent again TRANSFER_OVERDUE_S after its response began; TRANSFER_TIMEOUT_S is
+# the time that each attempt has for its response.
 TRANSFER_OVERDUE_S: Final = 1.5
 TRANSFER_TIMEOUT_S: Final = 4.0
 # A read has at most two attempts at a time.
