Let an outage of the stand-in store hold only the calls that it names

A call in progress over a whole outage got no response afterwards even if the outage named other hosts or topics.

--- a/script/standins/platform_store.py
+++ b/script/standins/platform_store.py
@@ -42,12 +42,15 @@
         self.began_s = gevent.get_hub().loop.now()
         self.is_over = False
 
-    def applies_to(self, environ: dict[str, Any], topic: str) -> bool:
-        """Return whether a call that arrives or ends now gets no response."""
+    def applies_on_arrival(self, environ: dict[str, Any], topic: str) -> bool:
+        """Return whether a call that arrives now gets no response."""
+        is_active = self.only_open or not self.is_over
+        return is_active and self.covers(environ, topic)
+
+    def covers(self, environ: dict[str, Any], topic: str) -> bool:
+        """Return whether the outage is one of such calls."""
         if self.only_open:
             return environ['standin.opened_s'] <= self.began_s
-        if self.is_over:
-            return False
         is_named = not self.topics or topic in self.topics
         address = _called_address(environ)
         return is_named and (not self.addresses or address in self.addresses)
@@ -92,7 +95,7 @@
         silent = [
             outage
             for outage in self.outages
-            if outage.applies_to(environ, query['topic'])
+            if outage.applies_on_arrival(environ, query['topic'])
         ]
         if silent:
             gevent.sleep(_SILENT_S)
@@ -106,7 +109,7 @@
         status, content = operation(query, body)
         # An outage that began meanwhile holds also if it is over by now.
         if any(
-            outage.applies_to(environ, query['topic']) or outage.is_over
+            outage.covers(environ, query['topic'])
             for outage in self.outages[before:]
         ):
             gevent.sleep(_SILENT_S)
